--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# One door to every task. `make help` lists them.
+
+LINTER := bin/golangci-lint
+FUZZ_SECONDS ?= 5
+
+.PHONY: help build test lint format ci demo fuzz slopes clean
+
+help: ## List the tasks.
+	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
+
+build: ## Build both programs into bin/.
+	go build -o bin/ ./cmd/...
+
+test: build ## Run every test.
+	go test ./...
+
+lint: $(LINTER) ## Run the formatter's check and the linter.
+	$(LINTER) fmt --diff
+	$(LINTER) run ./...
+
+format: $(LINTER) ## Format the code.
+	$(LINTER) fmt
+
+$(LINTER): tools/go.mod
+	go -C tools build -o ../$(LINTER) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+ci: ## What .ci/run calls.
+	scripts/ci
+
+demo: build ## Start a small fleet, send requests through it, stop one entry on the way.
+	scripts/demo
+
+fuzz: ## Run each fuzz target for FUZZ_SECONDS.
+	scripts/fuzz $(FUZZ_SECONDS)
+
+slopes: ## Measure the slopes that docs/CAPACITY.md is worked out from.
+	scripts/slopes
+
+clean: ## Remove what was built.
+	rm -rf bin out
--- /dev/null
+++ b/cmd/endivechute/main.go
@@ -0,0 +1,4 @@
+// Command endivechute steers request traffic across regions.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin holds the stand-ins of the outside systems.
+package main
+
+func main() {}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,65 @@
+// Package logs makes the loggers of the system's parts. Each part has a fixed
+// prefix, so that one part's lines can be picked out of the log of a process.
+package logs
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// New makes the logger of a process. level is one of debug, info, warn and
+// error; format is text or json. The error names the setting and what is
+// allowed.
+func New(out io.Writer, level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Newf("log-level: %q is given; want debug, info, warn or error", level)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	switch format {
+	case "text":
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	case "json":
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, errors.Newf("log-format: %q is given; want text or json", format)
+	}
+	return logger, nil
+}
+
+// Part returns a logger whose messages begin with the name of the part and a
+// colon.
+func Part(logger *logrus.Logger, name string) *logrus.Logger {
+	part := logrus.New()
+	part.SetOutput(logger.Out)
+	part.SetLevel(logger.GetLevel())
+	part.SetFormatter(prefixFormatter{prefix: name + ": ", next: logger.Formatter})
+	return part
+}
+
+// Discard returns a logger that writes nothing, for tests.
+func Discard() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+type prefixFormatter struct {
+	prefix string
+	next   logrus.Formatter
+}
+
+// Format implements logrus.Formatter.
+func (f prefixFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	copied := *entry
+	copied.Message = f.prefix + entry.Message
+	line, err := f.next.Format(&copied)
+	if err != nil {
+		return nil, errors.Wrap(err, "format a log line")
+	}
+	return line, nil
+}
