Keep each target by leases of two of three electors

Cause: each target needs one entry that counts its slots, and the next one has to take over when that entry is lost, paused or stopped, without two at a time. Ruled out: the first design (the keeper's lease from its one backup, and a further member confirming when the backup is silent). With four members and two cuts both sides can find a confirmer. Two leases of three electors always share an elector, so no confirmation is needed, and one silent elector costs nothing.

--- /dev/null
+++ b/keeper/order.go
@@ -0,0 +1,78 @@
+// Package keeper decides which entry of an availability zone may send work to
+// a target, and how much of it. It does no I/O; the time is passed in as a
+// duration on the monotonic clock of the process.
+//
+// Each scarce resource (a target's slots, an availability zone's share of a
+// link) has three electors, the first three live entries of the zone in
+// rendezvous order. The keeper is the one elector that holds the leases of two
+// of them, its own included. Any two majorities of three share an elector, and
+// an elector gives its lease to one holder at a time, so there is one keeper at
+// most however messages are lost or late and processes are paused.
+package keeper
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+// ElectorsMax is the number of entries that decide who keeps a resource.
+const ElectorsMax = 3
+
+// Resource names something scarce that has one keeper in an availability zone.
+type Resource string
+
+// TargetResource returns the resource of the slots of a target.
+func TargetResource(target place.Target) Resource { return Resource("target/" + target) }
+
+// LinkResource returns the resource of an availability zone's share of the link
+// to a region.
+func LinkResource(zone place.Zone, to place.Region) Resource {
+	return Resource("link/" + string(zone) + "/" + string(to))
+}
+
+// Order returns the members in the rendezvous order of the resource. When a
+// member joins or leaves, the others keep their order.
+func Order(resource Resource, members []place.Instance) []place.Instance {
+	type weighed struct {
+		member place.Instance
+		weight uint64
+	}
+	all := make([]weighed, len(members))
+	for i, m := range members {
+		all[i] = weighed{member: m, weight: xxhash.Sum64String(string(m) + "\x00" + string(resource))}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		if c := cmp.Compare(b.weight, a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.member, b.member)
+	})
+	order := make([]place.Instance, len(all))
+	for i, w := range all {
+		order[i] = w.member
+	}
+	return order
+}
+
+// electorsOf returns the electors of the resource, the preferred keeper first.
+func electorsOf(resource Resource, members []place.Instance) []place.Instance {
+	order := Order(resource, members)
+	return order[:min(len(order), ElectorsMax)]
+}
+
+// viewOf returns a digest of a list of electors, so that two entries can tell
+// whether they count the same ones.
+func viewOf(electors []place.Instance) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, e := range electors {
+		_, _ = digest.WriteString(string(e) + "\x00")
+	}
+	return digest.Sum64()
+}
+
+func majorityOf(electors []place.Instance) int { return len(electors)/2 + 1 }
--- /dev/null
+++ b/keeper/rules_test.go
@@ -0,0 +1,340 @@
+package keeper_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/keeper"
+	"github.com/endivechute/endivechute/place"
+)
+
+const second = time.Second
+
+// elector makes the Leases of the entry that comes last of the members in the
+// order of testTarget, and returns the members in that order.
+func elector(members []place.Instance, now time.Duration) (*keeper.Leases, []place.Instance) {
+	order := keeper.Order(testTarget, members)
+	l := keeper.NewLeases(order[len(order)-1], 1, now)
+	l.Update(members, []keeper.Resource{testTarget}, now)
+	return l, order
+}
+
+// ask sends one beat for testTarget and tells whether the lease was given.
+func ask(l *keeper.Leases, from place.Instance, incarnation uint64, sent, now time.Duration, release bool, view uint64) bool {
+	beat := keeper.Beat{Incarnation: incarnation, Sent: sent, Asks: []keeper.Ask{{Resource: testTarget, View: view, Release: release}}}
+	ack, _ := l.HandleBeat(from, beat, now)
+	return len(ack.Granted) == 1
+}
+
+// viewAmong returns the view that the members have of testTarget.
+func viewAmong(members []place.Instance) uint64 {
+	order := keeper.Order(testTarget, members)
+	l := keeper.NewLeases(order[0], 9, 0)
+	l.Update(members, []keeper.Resource{testTarget}, 0)
+	return l.Tick(100 * second)[0].Beat.Asks[0].View
+}
+
+func TestElectorRules(t *testing.T) {
+	members := []place.Instance{"a", "b", "c"}
+	view := viewAmong(members)
+	tests := map[string]struct {
+		run  func(l *keeper.Leases, first, second place.Instance) bool
+		want bool
+	}{
+		"a new process waits for what its predecessor gave": {func(l *keeper.Leases, p, _ place.Instance) bool {
+			return ask(l, p, 1, 1, 2*second, false, view)
+		}, false},
+		"then it gives": {func(l *keeper.Leases, p, _ place.Instance) bool {
+			return ask(l, p, 1, 1, 3*second, false, view)
+		}, true},
+		"not to a second holder": {func(l *keeper.Leases, p, q place.Instance) bool {
+			ask(l, p, 1, 1, 5*second, false, view)
+			return ask(l, q, 1, 1, 7*second-1, false, view)
+		}, false},
+		"to a second holder after the time": {func(l *keeper.Leases, p, q place.Instance) bool {
+			ask(l, p, 1, 1, 5*second, false, view)
+			return ask(l, q, 1, 1, 7*second, false, view)
+		}, true},
+		"not to the holder's next process": {func(l *keeper.Leases, p, _ place.Instance) bool {
+			ask(l, p, 1, 1, 5*second, false, view)
+			return ask(l, p, 2, 1, 6*second, false, view)
+		}, false},
+		"a release frees": {func(l *keeper.Leases, p, q place.Instance) bool {
+			ask(l, p, 1, 1, 5*second, false, view)
+			ask(l, p, 1, 2, 5*second, true, view)
+			return ask(l, q, 1, 1, 5*second, false, view)
+		}, true},
+		"a late release doesn't free what was asked for since": {func(l *keeper.Leases, p, q place.Instance) bool {
+			ask(l, p, 1, 3, 5*second, false, view)
+			ask(l, p, 1, 2, 5*second, true, view)
+			return ask(l, q, 1, 1, 5*second, false, view)
+		}, false},
+		"a lost process frees": {func(l *keeper.Leases, p, q place.Instance) bool {
+			ask(l, p, 1, 1, 5*second, false, view)
+			l.Gone(p, 5*second)
+			return ask(l, q, 1, 1, 5*second, false, view)
+		}, true},
+		"not under another view": {func(l *keeper.Leases, p, _ place.Instance) bool {
+			return ask(l, p, 1, 1, 5*second, false, view+1)
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, order := elector(members, 0)
+			if got := test.run(l, order[0], order[1]); got != test.want {
+				t.Errorf("lease given: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestNewcomerWaits replaces one elector of three: the new one must not make a
+// majority before the leases under the old view have lapsed.
+func TestNewcomerWaits(t *testing.T) {
+	for i := range 3 {
+		after := []place.Instance{"a", "b", "d"}
+		before := []place.Instance{"a", "b", "c"}
+		self := after[i]
+		old := slices.Clone(before)
+		if self == "d" {
+			old = []place.Instance{"d", "b", "c"}
+		}
+		l := keeper.NewLeases(self, 1, 0)
+		l.Update(old, []keeper.Resource{testTarget}, 0)
+		l.Update(after, []keeper.Resource{testTarget}, 10*second)
+		from := place.Instance("d")
+		if self == "d" {
+			from = "a"
+		}
+		if ask(l, from, 1, 1, 13*second-1, false, viewAmong(after)) {
+			t.Errorf("%s gave %s a lease before the old ones had lapsed", self, from)
+		}
+		if !ask(l, from, 1, 2, 13*second, false, viewAmong(after)) {
+			t.Errorf("%s gave %s no lease", self, from)
+		}
+	}
+}
+
+func TestSoleElectorWaits(t *testing.T) {
+	l, order := elector([]place.Instance{"a", "b", "c"}, 0)
+	l.Update(order[2:], []keeper.Resource{testTarget}, 10*second)
+	hold := l.Hold(testTarget)
+	if l.Tick(12 * second); hold.Held(12 * second) {
+		t.Error("the last of three is the keeper before the others' leases have lapsed")
+	}
+	if l.Tick(13 * second); !hold.Held(13 * second) {
+		t.Error("the last of three is no keeper")
+	}
+}
+
+func TestHolderCountsFromSending(t *testing.T) {
+	members := []place.Instance{"a", "b"}
+	order := keeper.Order(testTarget, members)
+	l := keeper.NewLeases(order[0], 7, 0)
+	l.Update(members, []keeper.Resource{testTarget}, 0)
+	beat := l.Tick(10 * second)[0].Beat
+	hold := l.Hold(testTarget)
+	ack := keeper.Ack{Incarnation: 6, Sent: beat.Sent, Granted: []keeper.Resource{testTarget}}
+	if l.HandleAck(order[1], ack, 10*second); hold.Held(10 * second) {
+		t.Error("an answer to another process counts")
+	}
+	ack.Incarnation = 7
+	l.Tick(11 * second)
+	l.HandleAck(order[1], ack, 11*second)
+	end := beat.Sent + keeper.LeaseTime - keeper.LeaseMargin
+	if !hold.Held(end-1) || hold.Held(end) {
+		t.Errorf("the lease ends at %v, want %v", hold.Until(), end)
+	}
+}
+
+func TestLedgerInherited(t *testing.T) {
+	tests := map[string]struct {
+		run  func(l *keeper.Ledger)
+		want int
+	}{
+		"all are taken after a loss":     {func(*keeper.Ledger) {}, 0},
+		"one report frees nothing":       {func(l *keeper.Ledger) { l.Report(0) }, 0},
+		"two that agree do":              {func(l *keeper.Ledger) { l.Report(1); l.Report(1) }, 3},
+		"the greater of two counts":      {func(l *keeper.Ledger) { l.Report(3); l.Report(0) }, 1},
+		"a report takes no slot":         {func(l *keeper.Ledger) { l.Report(0); l.Report(0); l.Report(4); l.Report(4) }, 4},
+		"a handover is exact":            {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second, second}, 0) }, 2},
+		"its ends are told":              {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second}, 0); l.InheritedDone(5) }, 4},
+		"the end of another term is not": {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second}, 0); l.InheritedDone(4) }, 3},
+		"nor one that a report freed": {func(l *keeper.Ledger) {
+			l.Inherit(5, []time.Duration{second, second}, 0)
+			l.Report(1)
+			l.Report(1)
+			l.InheritedDone(5)
+		}, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := keeper.NewLedger(keeper.NewLimits(4, 9, 2*second))
+			l.TakeOver(0)
+			test.run(l)
+			if got := l.Free(0); got != test.want {
+				t.Errorf("free slots: %d, want %d", got, test.want)
+			}
+			if got := l.Free(2 * second); got != 4 {
+				t.Errorf("free slots after the longest time: %d, want 4", got)
+			}
+		})
+	}
+}
+
+func TestLedgerArrive(t *testing.T) {
+	fill := func(l *keeper.Ledger) {
+		l.Arrive(1, second, 0)
+		l.Arrive(2, second, 0)
+	}
+	reasonOf := func(d keeper.Decision) errs.Reason {
+		if r, ok := d.(keeper.Refused); ok {
+			return r.Reason()
+		}
+		return ""
+	}
+	tests := map[string]struct {
+		prepare  func(l *keeper.Ledger)
+		deadline time.Duration
+		reason   errs.Reason
+		starts   bool
+	}{
+		"room":          {func(*keeper.Ledger) {}, second, "", true},
+		"full":          {fill, second, "", false},
+		"wait too long": {fill, 25 * time.Millisecond, errs.ReasonDeadline, false},
+		"leaving":       {func(l *keeper.Ledger) { l.SetLeaving(true) }, second, errs.ReasonNoTarget, false},
+		"cold": {func(l *keeper.Ledger) {
+			l.SetCold(0)
+			l.Arrive(1, second, 0)
+		}, second, "", false},
+		"warm again": {func(l *keeper.Ledger) { l.SetCold(-keeper.RampTime); l.Arrive(1, second, 0) }, second, "", true},
+		"shed": {func(l *keeper.Ledger) {
+			fill(l)
+			l.Finish(2, keeper.OutcomeShed, 0)
+		}, second, "", false},
+		"shed a while ago": {func(l *keeper.Ledger) {
+			fill(l)
+			l.Finish(2, keeper.OutcomeShed, -keeper.ShedRecovery)
+		}, second, "", true},
+		"a given back slot": {func(l *keeper.Ledger) {
+			fill(l)
+			l.Finish(2, keeper.OutcomeUnused, 0)
+		}, second, "", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := keeper.NewLedger(keeper.NewLimits(2, 9, second))
+			test.prepare(l)
+			d := l.Arrive(3, test.deadline, 0)
+			if diff := cmp.Diff(test.reason, reasonOf(d)); diff != "" {
+				t.Errorf("reason (-want +got):\n%s", diff)
+			}
+			if _, starts := d.(keeper.Started); starts != test.starts {
+				t.Errorf("decision %#v, want started %v", d, test.starts)
+			}
+		})
+	}
+}
+
+// soleGate makes the Gate of an entry that is alone in its zone, as a keeper
+// whose target has reported to be idle.
+func soleGate(slots int, clock func() time.Duration) *keeper.Gate {
+	l := keeper.NewLeases("a", 1, -10*second)
+	l.Update([]place.Instance{"a"}, []keeper.Resource{testTarget}, -10*second)
+	l.Tick(0)
+	g := keeper.NewGate("search-1", l.Hold(testTarget), keeper.NewLimits(slots, 99, second), clock)
+	g.Tick()
+	g.Report(0, 1)
+	g.Report(0, 1)
+	return g
+}
+
+func TestGateConcurrent(t *testing.T) {
+	gate := soleGate(3, func() time.Duration { return 0 })
+	var mu sync.Mutex
+	var running, most, ran int
+	var group conc.WaitGroup
+	for range 64 {
+		group.Go(func() {
+			pass, err := gate.Enter(context.Background(), 100*second)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			mu.Lock()
+			running++
+			ran++
+			most = max(most, running)
+			mu.Unlock()
+			mu.Lock()
+			running--
+			mu.Unlock()
+			pass.Done(keeper.OutcomeRan)
+		})
+	}
+	group.Wait()
+	if most > 3 || ran != 64 {
+		t.Errorf("%d ran, %d at once; want 64, at most 3", ran, most)
+	}
+}
+
+// TestPausedKeeperDropsItsQueue lets the clock jump past the lease, as for a
+// process that was stopped and goes on.
+func TestPausedKeeperDropsItsQueue(t *testing.T) {
+	var mu sync.Mutex
+	var now time.Duration
+	gate := soleGate(1, func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	})
+	pass, err := gate.Enter(context.Background(), 100*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		_, err = gate.Enter(context.Background(), 100*second)
+	})
+	for gate.View().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	now = 3 * second
+	mu.Unlock()
+	gate.Tick()
+	group.Wait()
+	var refusal *errs.Refusal
+	if !errors.As(err, &refusal) || refusal.Verdict() != errs.VerdictNotRun || refusal.Reason() != errs.ReasonLostKeeper {
+		t.Errorf("the waiting request got %v, want not-run (lost-keeper)", err)
+	}
+	if pass.Held() {
+		t.Error("a pass of a keeper whose lease lapsed still allows to send")
+	}
+}
+
+func TestBucket(t *testing.T) {
+	b := keeper.NewBucket(100, 10, 0)
+	sent := 0.0
+	for now := time.Duration(0); now < 3*second; now += 7 * time.Millisecond {
+		for range 3 {
+			if ok, _ := b.Take(2, now); ok {
+				sent += 2
+			}
+		}
+	}
+	if sent > 310 || sent < 290 {
+		t.Errorf("%v units in 3 s, want at most 310 and not much less", sent)
+	}
+	if _, wait := b.Take(10, 3*second); wait <= 0 || wait > 100*time.Millisecond {
+		t.Errorf("wait %v, want up to 100 ms", wait)
+	}
+}
