Add the store's client and the platform's stand-in

Cause: nothing could read or write the platform's objects yet. Ruled out: a fasthttp client, which can't cancel a waiting watch with its context and repeats GET and PUT by itself on a stale connection. Before: only the Store interface.

--- /dev/null
+++ b/plat/faults.go
@@ -0,0 +1,151 @@
+package plat
+
+import (
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/endivechute/endivechute/store"
+)
+
+// rosterHistoryMax is how many earlier lists of instances are kept for the
+// fault that makes the list lag.
+const rosterHistoryMax = 1000
+
+// Faults are the failures that can be switched on while the stand-in runs.
+type Faults struct {
+	// Down closes every connection without an answer.
+	Down bool `json:"down"`
+	// SlowMillis delays each call, half of it before the call takes effect and
+	// half after, in milliseconds.
+	SlowMillis int `json:"slow_ms"`
+	// LoseReplies is the number of next writes that take effect without an
+	// answer.
+	LoseReplies int `json:"lose_replies"`
+	// ListLagMillis is the age of the list of instances, in milliseconds.
+	ListLagMillis int `json:"list_lag_ms"`
+	// FreezeList keeps answering with the list as it is now.
+	FreezeList bool `json:"freeze_list"`
+}
+
+// control is what the control calls change: faults, tokens and the list of
+// instances. It also counts the calls.
+type control struct {
+	mutex   sync.Mutex
+	faults  Faults
+	changed chan struct{}
+	tokens  map[string]string
+	counts  map[string]uint64
+	rosters []datedRoster
+	frozen  *store.Roster
+	now     func() time.Time
+}
+
+type datedRoster struct {
+	since  time.Time
+	roster store.Roster
+}
+
+func newControl(now func() time.Time) *control {
+	return &control{changed: make(chan struct{}), counts: map[string]uint64{}, now: now}
+}
+
+func (c *control) setFaults(faults Faults) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if faults.FreezeList && c.frozen == nil {
+		frozen := c.rosterLocked()
+		c.frozen = &frozen
+	}
+	if !faults.FreezeList {
+		c.frozen = nil
+	}
+	c.faults = faults
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// present returns the present faults and a channel that is closed when they change.
+func (c *control) present() (Faults, <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.faults, c.changed
+}
+
+// loseReply uses up one lost reply, if any is left.
+func (c *control) loseReply() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.faults.LoseReplies <= 0 {
+		return false
+	}
+	c.faults.LoseReplies--
+	return true
+}
+
+func (c *control) setTokens(tokens map[string]string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.tokens = tokens
+}
+
+// mayWrite tells whether the token may write the path. A token stands for one
+// subtree or several, separated by commas; an empty subtree is the whole tree.
+func (c *control) mayWrite(token, path string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.tokens) == 0 {
+		return true
+	}
+	subtrees, found := c.tokens[token]
+	if !found {
+		return false
+	}
+	for subtree := range strings.SplitSeq(subtrees, ",") {
+		if subtree == "" || path == subtree || strings.HasPrefix(path, strings.TrimSuffix(subtree, "/")+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *control) count(kind string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.counts[kind]++
+}
+
+func (c *control) callCounts() map[string]uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.counts)
+}
+
+func (c *control) setRoster(roster store.Roster) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.rosters = append(c.rosters, datedRoster{since: c.now(), roster: roster})
+	if len(c.rosters) > rosterHistoryMax {
+		c.rosters = c.rosters[1:]
+	}
+}
+
+func (c *control) roster() store.Roster {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.rosterLocked()
+}
+
+func (c *control) rosterLocked() store.Roster {
+	if c.frozen != nil {
+		return *c.frozen
+	}
+	limit := c.now().Add(-time.Duration(c.faults.ListLagMillis) * time.Millisecond)
+	for i := len(c.rosters) - 1; i >= 0; i-- {
+		if !c.rosters[i].since.After(limit) || i == 0 {
+			return c.rosters[i].roster
+		}
+	}
+	return store.Roster{Entries: []store.Entry{}, Targets: []store.Target{}}
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,214 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of what the client sends and accepts.
+const (
+	// ValueBytesMax is the largest value of an object, in bytes.
+	ValueBytesMax = 1 << 20
+	// objectReplyBytesMax bounds the reply that holds one object: its value in
+	// base64 and the fields around it.
+	objectReplyBytesMax = 2 * ValueBytesMax
+	// listReplyBytesMax bounds the reply that holds many objects.
+	listReplyBytesMax = 256 << 20
+	// rosterReplyBytesMax bounds the platform's list of instances.
+	rosterReplyBytesMax = 64 << 20
+	// connectionsIdleMax is the number of idle connections kept to the platform.
+	connectionsIdleMax = 4
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 2 * time.Second
+	// watchGrace is how long a watch may outlast the wait that it asked for.
+	watchGrace = 5 * time.Second
+)
+
+// Client is a Store that speaks the platform's HTTP protocol. This file is the
+// only one that knows the bytes. The client never repeats a write by itself:
+// net/http repeats only what was not sent at all, and GET.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient makes a client of the platform at the address "host:port". The
+// token authorises writes; it may be empty.
+func NewClient(address, token string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: connectionsIdleMax,
+		DisableCompression:  true,
+	}
+	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: transport}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// objectReply is one object as the platform sends it. JSON carries the value
+// in base64.
+type objectReply struct {
+	Path    string `json:"path"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted"`
+	Value   []byte `json:"value"`
+}
+
+func (r objectReply) object() Object { return NewObject(r.Path, r.Version, r.Value, r.Deleted) }
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, path string) (Object, error) {
+	var reply objectReply
+	if err := c.read(ctx, "/v1/objects/"+escape(path), objectReplyBytesMax, &reply); err != nil {
+		return Object{}, errors.Wrapf(err, "read %s", path)
+	}
+	return reply.object(), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	query := url.Values{"prefix": {prefix}}
+	return c.many(ctx, "/v1/list?"+query.Encode())
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	query := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return c.many(ctx, "/v1/watch?"+query.Encode())
+}
+
+func (c *Client) many(ctx context.Context, target string) ([]Object, uint64, error) {
+	var reply struct {
+		Revision uint64        `json:"revision"`
+		Objects  []objectReply `json:"objects"`
+	}
+	if err := c.read(ctx, target, listReplyBytesMax, &reply); err != nil {
+		return nil, 0, errors.Wrapf(err, "read %s", target)
+	}
+	objects := make([]Object, 0, len(reply.Objects))
+	for _, r := range reply.Objects {
+		objects = append(objects, r.object())
+	}
+	return objects, reply.Revision, nil
+}
+
+// Roster implements Store.
+func (c *Client) Roster(ctx context.Context) (Roster, error) {
+	var roster Roster
+	if err := c.read(ctx, "/v1/instances", rosterReplyBytesMax, &roster); err != nil {
+		return Roster{}, errors.Wrap(err, "read the list of instances")
+	}
+	return roster, nil
+}
+
+// Put implements Store. Of its errors only ErrConflict, ErrForbidden,
+// ErrTooLarge and ErrUnreachable say that nothing was written.
+func (c *Client) Put(ctx context.Context, path string, value []byte, ifVersion uint64) (uint64, error) {
+	if len(value) > ValueBytesMax {
+		return 0, errors.Wrapf(ErrTooLarge, "write %s: %d bytes are given, at most %d are allowed", path, len(value), ValueBytesMax)
+	}
+	version, err := c.write(ctx, http.MethodPut, path, value, ifVersion)
+	return version, errors.Wrapf(err, "write %s", path)
+}
+
+// Delete implements Store. Its errors are those of Put.
+func (c *Client) Delete(ctx context.Context, path string, ifVersion uint64) (uint64, error) {
+	version, err := c.write(ctx, http.MethodDelete, path, nil, ifVersion)
+	return version, errors.Wrapf(err, "delete %s", path)
+}
+
+func (c *Client) read(ctx context.Context, target string, bytesMax int64, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+target, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "make a request")
+	}
+	return c.do(request, bytesMax, reply)
+}
+
+func (c *Client) write(ctx context.Context, method, path string, value []byte, ifVersion uint64) (uint64, error) {
+	target := c.base + "/v1/objects/" + escape(path) + "?if_version=" + strconv.FormatUint(ifVersion, 10)
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(value))
+	if err != nil {
+		return 0, errors.Mark(errors.Wrap(err, "make a request"), ErrUnreachable)
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	var reply struct {
+		Version uint64 `json:"version"`
+	}
+	if err := c.do(request, objectReplyBytesMax, &reply); err != nil {
+		return 0, err
+	}
+	return reply.Version, nil
+}
+
+func (c *Client) do(request *http.Request, bytesMax int64, reply any) error {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return transportError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := statusError(response.StatusCode); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bytesMax))
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, bytesMax+1))
+	if err != nil {
+		return errors.Wrap(err, "read the platform's reply")
+	}
+	if int64(len(body)) > bytesMax {
+		return errors.Newf("the platform's reply is longer than %d bytes", bytesMax)
+	}
+	return errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
+}
+
+// transportError marks the failures in which no byte was sent.
+func transportError(err error) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return errors.Mark(errors.Wrap(err, "reach the platform"), ErrUnreachable)
+	}
+	return errors.Wrap(err, "call the platform")
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusForbidden:
+		return ErrForbidden
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	}
+	return errors.Newf("the platform answered with status %d", status)
+}
+
+// escape writes a path for a URL; the slashes of the path stay.
+func escape(path string) string {
+	return (&url.URL{Path: path}).EscapedPath()
+}
--- a/store/store.go
+++ b/store/store.go
@@ -23,8 +23,19 @@
 	// ErrForbidden: the token may not write here; the write did not take
 	// effect.
 	ErrForbidden = errors.New("the token may not write here")
+	// ErrTooLarge: the value is longer than ValueBytesMax; the write did not
+	// take effect.
+	ErrTooLarge = errors.New("the value is too large")
+	// ErrUnreachable: no connection could be opened; the write did not take
+	// effect.
+	ErrUnreachable = errors.New("the platform cannot be reached")
 )
 
+// NotWritten tells whether err proves that a write did not take effect.
+func NotWritten(err error) bool {
+	return errors.IsAny(err, ErrNotFound, ErrConflict, ErrForbidden, ErrTooLarge, ErrUnreachable)
+}
+
 // Object is one versioned object. The version of an object only grows, and a
 // deleted object keeps its path and version as a tombstone.
 type Object struct {
