Add the whole path, thin: entry, peers, settings of the process, commands

Cause: nothing yet led a request from a caller to a target. Ruled out: one port for callers and operators (the operators' part would be open to callers); a lock around what a request has to know of the fleet (a view is built beside the running one and swapped by one pointer instead). Before: packages without a process. Conclusion: at-most-once is kept at the home only, the choice of a target is the less busy of two, the settings are read by each entry itself: thin forms that the parts to come replace.

--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,33 @@
+// Package admin is the operators' port of a process: a dump of its state, its
+// metrics and its health. It never shares a port with callers.
+package admin
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// New makes the operators' port. dump returns the state of the process, which
+// is written as JSON; ready tells whether callers may be sent to the process.
+func New(registry *prometheus.Registry, dump func() any, ready func() bool) *fiber.App {
+	app := fiber.New(fiber.Config{AppName: "endivechute operators", DisableStartupMessage: true})
+	app.Get("/dump", func(c *fiber.Ctx) error {
+		return errors.Wrap(c.JSON(dump()), "write the dump")
+	})
+	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	app.Get("/health/alive", func(c *fiber.Ctx) error {
+		return errors.Wrap(c.SendString("alive\n"), "write the health")
+	})
+	app.Get("/health/ready", func(c *fiber.Ctx) error {
+		if !ready() {
+			return errors.Wrap(c.Status(http.StatusServiceUnavailable).SendString("not ready\n"), "write the health")
+		}
+		return errors.Wrap(c.SendString("ready\n"), "write the health")
+	})
+	return app
+}
--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -1,4 +1,86 @@
-// Command endivechute steers request traffic across regions.
+// Command endivechute steers request traffic across regions. `endivechute
+// entry` runs on an instance; the other commands are for operators and callers.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/endivechute/endivechute/setup"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newRoot().ParseAndRun(ctx, os.Args[1:])
+	stop()
+	os.Exit(exitCode(err))
+}
+
+// exitCode prints what went wrong and returns the exit code for it.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	case errors.Is(err, setup.ErrUsage):
+		fmt.Fprintln(os.Stderr, "endivechute:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "endivechute:", err)
+	return exitFailed
+}
+
+func newRoot() *ffcli.Command {
+	return &ffcli.Command{
+		ShortUsage: "endivechute <command> [flags]",
+		LongHelp:   "Every flag is also an environment variable: --caller-address is ENDIVECHUTE_CALLER_ADDRESS.",
+		FlagSet:    flag.NewFlagSet("endivechute", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			newEntryCommand(),
+			newLookupCommand(),
+			newSendCommand(),
+			newDumpCommand(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return errors.Mark(errors.Newf("there is no command %q; `endivechute --help` lists them", args[0]), setup.ErrUsage)
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// command makes a subcommand whose flags can also be given in the environment.
+// It takes no further arguments unless takesArgs is set.
+func command(name, usage, help string, flags *flag.FlagSet, exec func(ctx context.Context, args []string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "endivechute " + name + " " + usage,
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(setup.EnvPrefix)},
+		Exec:       exec,
+	}
+}
+
+func noArgs(args []string) error {
+	if len(args) > 0 {
+		return errors.Mark(errors.Newf("argument %q is not understood; flags begin with --", args[0]), setup.ErrUsage)
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,36 @@
-// Command standin holds the stand-ins of the outside systems.
+// Command standin holds the stand-ins of the outside systems, for trials and
+// tests: the platform, targets and callers. Each runs as a process of its own.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	logger := logrus.New()
+	root := &ffcli.Command{
+		ShortUsage:  "standin <command> [flags]",
+		FlagSet:     flag.NewFlagSet("standin", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{newPlatformCommand(logger), newTargetsCommand(logger)},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	stop()
+	if err == nil {
+		return
+	}
+	if !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+	}
+	os.Exit(1)
+}
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// Dump is the state of a process, for operators.
+type Dump struct {
+	Instance    place.Instance    `json:"instance"`
+	Zone        place.Zone        `json:"zone"`
+	Incarnation uint64            `json:"incarnation"`
+	Version     int               `json:"protocol_version"`
+	At          time.Time         `json:"at"`
+	Ready       bool              `json:"ready"`
+	Leaving     bool              `json:"leaving"`
+	InFlight    int64             `json:"in_flight"`
+	Versions    map[string]uint64 `json:"settings_versions"`
+	Peers       []DumpPeer        `json:"peers"`
+	Targets     []DumpTarget      `json:"targets"`
+	Services    []place.Service   `json:"services"`
+}
+
+// DumpPeer is what the process knows of another entry.
+type DumpPeer struct {
+	Instance    place.Instance `json:"instance"`
+	Zone        place.Zone     `json:"zone"`
+	State       store.State    `json:"listed_state"`
+	Incarnation uint64         `json:"incarnation"`
+	Reachable   bool           `json:"reachable"`
+	Leaving     bool           `json:"leaving"`
+}
+
+// DumpTarget is what the process knows of a target of its availability zone.
+type DumpTarget struct {
+	Target   place.Target  `json:"target"`
+	Service  place.Service `json:"service"`
+	State    store.State   `json:"listed_state"`
+	InFlight int           `json:"in_flight"`
+}
+
+// Dump returns the present state.
+func (e *Entry) Dump() Dump {
+	v := e.view.Load()
+	dump := Dump{
+		Instance: e.self.Instance, Zone: e.self.Zone, Incarnation: e.self.Incarnation, Version: wire.Version,
+		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Versions: v.versions,
+	}
+	for _, entry := range v.entries {
+		if entry.Instance == e.self.Instance {
+			continue
+		}
+		health := e.heart.Health(entry.Instance)
+		dump.Peers = append(dump.Peers, DumpPeer{
+			Instance: entry.Instance, Zone: entry.Zone, State: entry.State,
+			Incarnation: health.Incarnation(), Reachable: health.Reachable(dump.At), Leaving: health.Leaving(),
+		})
+	}
+	for service, zones := range v.targets {
+		dump.Services = append(dump.Services, service)
+		for _, t := range zones[e.self.Zone] {
+			dump.Targets = append(dump.Targets, DumpTarget{Target: t.Target, Service: service, State: t.State, InFlight: v.clients[t.Target].InFlight()})
+		}
+	}
+	return dump
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/utils"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// The headers of the callers' port.
+const (
+	HeaderVerdict  = "Endivechute-Verdict"
+	HeaderReason   = "Endivechute-Reason"
+	HeaderComeBack = "Endivechute-Come-Back-Ms"
+	HeaderDeadline = "Endivechute-Deadline-Ms"
+	HeaderKey      = "Endivechute-Key"
+	HeaderLookup   = "Endivechute-Lookup"
+	HeaderTarget   = "Endivechute-Target"
+)
+
+// Bounds of the callers' port.
+const (
+	RequestBytesMax   = 1 << 20
+	HeadBytesMax      = 16 << 10
+	callerReadTimeout = 10 * time.Second
+	callerIdleTimeout = 60 * time.Second
+	deadlineMillisMax = 600_000
+)
+
+// NewApp makes the callers' port.
+func (e *Entry) NewApp() *fiber.App {
+	app := fiber.New(fiber.Config{
+		AppName:               "endivechute",
+		BodyLimit:             RequestBytesMax,
+		ReadBufferSize:        HeadBytesMax,
+		ReadTimeout:           callerReadTimeout,
+		IdleTimeout:           callerIdleTimeout,
+		DisableStartupMessage: true,
+		ErrorHandler:          e.failed,
+	})
+	app.Get("/v1/lookup", e.serveLookup)
+	app.All("/s/:team/:service/*", e.serveRequest)
+	app.Use(func(c *fiber.Ctx) error {
+		return errs.NotRun(errs.ReasonBadRequest, 0, "there is nothing at %q; want /v1/lookup?service=team/service or /s/team/service/path", c.Path())
+	})
+	return app
+}
+
+func (e *Entry) serveLookup(c *fiber.Ctx) error {
+	service, err := place.ParseService(utils.CopyString(c.Query("service")))
+	if err != nil {
+		return errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
+	}
+	found, err := e.Lookup(service)
+	if err != nil {
+		return err
+	}
+	type entry struct {
+		Instance place.Instance `json:"instance"`
+		Zone     place.Zone     `json:"zone"`
+		Address  string         `json:"address"`
+	}
+	entries := make([]entry, 0, len(found.entries))
+	for _, n := range found.entries {
+		entries = append(entries, entry{n.Instance, n.Zone, n.CallerAddress})
+	}
+	return errors.Wrap(c.JSON(struct {
+		Service   place.Service `json:"service"`
+		Entries   []entry       `json:"entries"`
+		KeyPrefix string        `json:"key_prefix"`
+		ExpiresIn int64         `json:"expires_in_ms"`
+		ComeBack  int64         `json:"come_back_ms"`
+	}{service, entries, found.keyPrefix, found.expires.Milliseconds(), found.expires.Milliseconds() / 2}), "write the answer")
+}
+
+func (e *Entry) serveRequest(c *fiber.Ctx) error {
+	r, err := e.readRequest(c)
+	if err != nil {
+		return err
+	}
+	answer, err := e.Serve(context.Background(), r)
+	if e.leaving.Load() {
+		c.Set(HeaderLookup, "again")
+	}
+	if err != nil {
+		return err
+	}
+	writeAnswer(c, answer)
+	return nil
+}
+
+// readRequest copies a request out of the buffers of the connection, which are
+// used again for the next one.
+func (e *Entry) readRequest(c *fiber.Ctx) (*Request, error) {
+	service, err := place.ParseService(utils.CopyString(c.Params("team")) + "/" + utils.CopyString(c.Params("service")))
+	if err != nil {
+		return nil, errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
+	}
+	deadline, err := e.readDeadline(c.Get(HeaderDeadline))
+	if err != nil {
+		return nil, err
+	}
+	path := strings.Clone(string(c.Request().URI().RequestURI()))
+	path = strings.TrimPrefix(path, "/s/"+string(service))
+	return NewRequest(service, utils.CopyString(c.Method()), path, readHeaders(c), utils.CopyBytes(c.Body()), utils.CopyString(c.Get(HeaderKey)), deadline), nil
+}
+
+func (e *Entry) readDeadline(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	millis, err := strconv.Atoi(text)
+	if err != nil || millis <= 0 || millis > deadlineMillisMax {
+		return time.Time{}, errs.NotRun(errs.ReasonBadRequest, 0, "%s: %q is given; want 1 to %d milliseconds", HeaderDeadline, text, deadlineMillisMax)
+	}
+	return e.now().Add(time.Duration(millis) * time.Millisecond), nil
+}
+
+func readHeaders(c *fiber.Ctx) []wire.Header {
+	var headers []wire.Header
+	for name, value := range c.Request().Header.All() {
+		if !ownHeader(string(name)) {
+			headers = append(headers, wire.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return headers
+}
+
+// ownHeader tells whether a header concerns the connection to the entry or the
+// entry itself, so that it isn't passed on.
+func ownHeader(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "expect",
+		"content-length", "host", "proxy-connection", "proxy-authorization", "date", "server":
+		return true
+	}
+	return strings.HasPrefix(strings.ToLower(name), "endivechute-")
+}
+
+func writeAnswer(c *fiber.Ctx, answer *wire.Answer) {
+	for _, h := range answer.Headers {
+		if !ownHeader(h.Name) {
+			c.Response().Header.Add(h.Name, h.Value)
+		}
+	}
+	c.Set(HeaderVerdict, errs.VerdictRan.String())
+	c.Set(HeaderTarget, string(answer.Target))
+	c.Status(answer.Status)
+	c.Response().SetBodyRaw(answer.Body)
+}
+
+// failed writes the final answer of a request that was given up on.
+func (e *Entry) failed(c *fiber.Ctx, err error) error {
+	refusal := errs.AsRefusal(err)
+	var library *fiber.Error
+	if errors.As(err, &library) {
+		refusal = errs.NotRun(errs.ReasonBadRequest, 0, "%s", library.Message)
+	}
+	c.Set(HeaderVerdict, refusal.Verdict().String())
+	c.Set(HeaderReason, string(refusal.Reason()))
+	if refusal.ComeBack() > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(refusal.ComeBack().Seconds()))))
+		c.Set(HeaderComeBack, strconv.FormatInt(refusal.ComeBack().Milliseconds(), 10))
+	}
+	return errors.Wrap(c.Status(statusOf(refusal)).JSON(struct {
+		Verdict  string      `json:"verdict"`
+		Reason   errs.Reason `json:"reason"`
+		Message  string      `json:"message"`
+		ComeBack int64       `json:"come_back_ms"`
+	}{refusal.Verdict().String(), refusal.Reason(), refusal.Message(), refusal.ComeBack().Milliseconds()}), "write the refusal")
+}
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(refusal *errs.Refusal) int {
+	switch refusal.Reason() {
+	case errs.ReasonBadRequest, errs.ReasonKeyInvalid:
+		return http.StatusBadRequest
+	case errs.ReasonNoService:
+		return http.StatusNotFound
+	case errs.ReasonKeyMissing:
+		return http.StatusPreconditionRequired
+	case errs.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		if refusal.Verdict() == errs.VerdictNotRun {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/entry/lookup.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+)
+
+// LookupTTL is how long a caller may use the answer of a look-up.
+const LookupTTL = 2 * time.Second
+
+// LookupEntriesMax is the greatest number of entries in an answer.
+const LookupEntriesMax = 6
+
+// Found is the answer of a look-up: the entries to use, the best one first.
+type Found struct {
+	service   place.Service
+	entries   []store.Entry
+	keyPrefix string
+	expires   time.Duration
+}
+
+// Entries returns the entries to use, the best one first.
+func (f Found) Entries() []store.Entry { return f.entries }
+
+// KeyPrefix returns what the keys of non-idempotent requests begin with.
+func (f Found) KeyPrefix() string { return f.keyPrefix }
+
+// Expires returns how long the answer may be used.
+func (f Found) Expires() time.Duration { return f.expires }
+
+// Lookup tells a caller which entries to use for a service.
+func (e *Entry) Lookup(service place.Service) (Found, error) {
+	v := e.view.Load()
+	if !v.settingsKnown || !v.rosterKnown {
+		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
+	}
+	if v.policies[service] == nil {
+		return Found{}, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", service)
+	}
+	e.stats.lookups.Inc()
+	entries := make([]store.Entry, 0, LookupEntriesMax)
+	if self, listed := v.entries[e.self.Instance]; listed && !e.leaving.Load() {
+		entries = append(entries, self)
+	}
+	for distance := range 3 {
+		for zone, members := range v.zoneEntries {
+			if e.distance(zone) == distance {
+				entries = append(entries, e.reachable(members)...)
+			}
+		}
+	}
+	entries = entries[:min(len(entries), LookupEntriesMax)]
+	return Found{service: service, entries: entries, keyPrefix: e.keyPrefix(), expires: LookupTTL}, nil
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// HopsMax is how many times a request may be handed from entry to entry.
+const HopsMax = 3
+
+// Request is a request of a caller on its way to a target.
+type Request struct {
+	service  place.Service
+	method   string
+	path     string
+	headers  []wire.Header
+	body     []byte
+	key      string
+	deadline time.Time
+	hops     int
+}
+
+// NewRequest makes a Request. The path is the one that the target gets, with
+// the query. A zero deadline stands for the one of the service's policy.
+func NewRequest(service place.Service, method, path string, headers []wire.Header, body []byte, key string, deadline time.Time) *Request {
+	return &Request{service: service, method: method, path: path, headers: headers, body: body, key: key, deadline: deadline}
+}
+
+// plainPath returns the path without the query, which the rules of a policy
+// look at.
+func (r *Request) plainPath() string {
+	for i := range len(r.path) {
+		if r.path[i] == '?' {
+			return r.path[:i]
+		}
+	}
+	return r.path
+}
+
+func (r *Request) toWire(scope wire.Scope, now time.Time) *wire.Forward {
+	return &wire.Forward{
+		Scope:          scope,
+		Service:        r.service,
+		Method:         r.method,
+		Path:           r.path,
+		Headers:        r.headers,
+		Body:           r.body,
+		Key:            r.key,
+		DeadlineMillis: max(r.deadline.Sub(now).Milliseconds(), 1),
+		Hops:           r.hops + 1,
+	}
+}
+
+func requestFromWire(f *wire.Forward, now time.Time) *Request {
+	deadline := now.Add(time.Duration(f.DeadlineMillis) * time.Millisecond)
+	return &Request{
+		service: f.Service, method: f.Method, path: f.Path, headers: f.Headers, body: f.Body,
+		key: f.Key, deadline: deadline, hops: f.Hops,
+	}
+}
+
+func answerToWire(answer target.Answer) *wire.Answer {
+	headers := make([]wire.Header, 0, len(answer.Headers()))
+	for _, h := range answer.Headers() {
+		headers = append(headers, wire.Header{Name: h.Name(), Value: h.Value()})
+	}
+	return &wire.Answer{Status: answer.Status(), Headers: headers, Body: answer.Body()}
+}
+
+func refusalToWire(err error) *wire.Refused {
+	refusal := errs.AsRefusal(err)
+	return &wire.Refused{
+		Verdict:        refusal.Verdict(),
+		Reason:         refusal.Reason(),
+		Text:           refusal.Message(),
+		ComeBackMillis: refusal.ComeBack().Milliseconds(),
+	}
+}
+
+func refusalFromWire(r *wire.Refused) *errs.Refusal {
+	return errs.New(r.Verdict, r.Reason, time.Duration(r.ComeBackMillis)*time.Millisecond, "%s", r.Text)
+}
--- /dev/null
+++ b/entry/route.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// ComeBack is the time after which a caller that was refused for lack of room
+// should come back.
+const ComeBack = 200 * time.Millisecond
+
+// Serve leads one request of a caller to a target and returns the whole answer.
+// An error holds an *errs.Refusal, which says whether the request may have run.
+func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	begun := e.now()
+	answer, err := e.serve(ctx, r)
+	e.stats.done(r.service, err, e.now().Sub(begun))
+	return answer, err
+}
+
+func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	v := e.view.Load()
+	policy, err := e.admit(v, r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if policy.NonIdempotent(r.method, r.plainPath()) {
+		return e.serveOnce(ctx, v, policy, r)
+	}
+	return e.route(ctx, v, policy, r)
+}
+
+// admit checks a request and gives it the deadline of its service's policy if
+// it has none or a later one.
+func (e *Entry) admit(v *view, r *Request) (*config.Policy, error) {
+	if !v.settingsKnown || !v.rosterKnown {
+		return nil, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
+	}
+	policy := v.policies[r.service]
+	if policy == nil {
+		return nil, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", r.service)
+	}
+	latest := e.now().Add(policy.Deadline())
+	if r.deadline.IsZero() || r.deadline.After(latest) {
+		r.deadline = latest
+	}
+	return policy, nil
+}
+
+// route tries the availability zones in order until one ran the request or may
+// have run it.
+func (e *Entry) route(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
+	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a target of service %s", r.service)
+	for _, zone := range e.zones(v, policy, r) {
+		answer, err := e.tryZone(ctx, v, policy, r, zone)
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
+			return answer, err
+		}
+		last = err
+		if ctx.Err() != nil {
+			return nil, errs.NotRun(errs.ReasonDeadline, 0, "the deadline passed before a target ran the request")
+		}
+	}
+	return nil, last
+}
+
+// zones returns the availability zones with usable targets: the own one, then
+// the others of the region, then other regions. A request that has come from
+// another entry stays in this zone.
+func (e *Entry) zones(v *view, policy *config.Policy, r *Request) []place.Zone {
+	var zones []place.Zone
+	for zone := range v.targets[r.service] {
+		if r.hops > 0 && zone != e.self.Zone {
+			continue
+		}
+		if len(v.usable(r.service, policy, zone)) > 0 {
+			zones = append(zones, zone)
+		}
+	}
+	slices.SortFunc(zones, func(a, b place.Zone) int {
+		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
+	})
+	return zones
+}
+
+func (e *Entry) distance(zone place.Zone) int {
+	switch {
+	case zone == e.self.Zone:
+		return 0
+	case zone.Region() == e.self.Zone.Region():
+		return 1
+	}
+	return 2
+}
+
+func (e *Entry) tryZone(ctx context.Context, v *view, policy *config.Policy, r *Request, zone place.Zone) (*wire.Answer, error) {
+	if zone == e.self.Zone {
+		return e.tryTarget(ctx, v, policy, r)
+	}
+	entries := e.reachable(v.zoneEntries[zone])
+	if len(entries) == 0 {
+		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	}
+	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+}
+
+// reachable returns the entries that can be reached and don't leave, in random
+// order.
+func (e *Entry) reachable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	usable := slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool {
+		health := e.heart.Health(entry.Instance)
+		return entry.Instance == e.self.Instance || entry.State == store.StateLeaving || health.Leaving() || !health.Reachable(now)
+	})
+	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	return usable
+}
+
+// tryTarget hands the request to the less busy of two random targets.
+func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
+	targets := v.usable(r.service, policy, e.self.Zone)
+	if len(targets) == 0 {
+		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
+	}
+	first := v.clients[targets[rand.IntN(len(targets))].Target]
+	second := v.clients[targets[rand.IntN(len(targets))].Target]
+	if second.InFlight() < first.InFlight() {
+		first = second
+	}
+	headers := make([]target.Header, 0, len(r.headers))
+	for _, h := range r.headers {
+		headers = append(headers, target.NewHeader(h.Name, h.Value))
+	}
+	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
+	answer, err := first.Do(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	whole := answerToWire(answer)
+	whole.Target = first.Name()
+	return whole, nil
+}
+
+// forward hands a request to another entry and waits for its answer.
+func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
+	answer, err := e.pool.Call(ctx, instance, message)
+	if err != nil {
+		return nil, forwardFailed(err)
+	}
+	switch a := answer.(type) {
+	case *wire.Answer:
+		return a, nil
+	case *wire.Refused:
+		return nil, refusalFromWire(a)
+	}
+	return nil, errs.MayHaveRun(errs.ReasonPeerFailed, "instance %s gave an answer of the wrong kind", instance)
+}
+
+func forwardFailed(err error) error {
+	switch {
+	case errors.Is(err, wire.ErrNotSent):
+		return errs.NotRun(errs.ReasonPeerFailed, ComeBack, "%v", err)
+	case errors.Is(err, context.DeadlineExceeded):
+		return errs.MayHaveRun(errs.ReasonDeadline, "%v", err)
+	}
+	return errs.MayHaveRun(errs.ReasonPeerFailed, "%v", err)
+}
+
+func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) wire.Message {
+	r := requestFromWire(f, e.now())
+	if r.hops > HopsMax {
+		return refusalToWire(errs.NotRun(errs.ReasonPeerFailed, ComeBack, "the request was handed on %d times already", r.hops))
+	}
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	answer, err := e.serveForward(ctx, f.Scope, r)
+	if err != nil {
+		return refusalToWire(err)
+	}
+	return answer
+}
+
+func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
+	v := e.view.Load()
+	policy, err := e.admit(v, r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if scope == wire.ScopeHome {
+		return e.serveOnce(ctx, v, policy, r)
+	}
+	return e.route(ctx, v, policy, r)
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/target"
+)
+
+// view is all that a request needs to know of the fleet. A view is never
+// changed after it was published: whoever learns something builds the next one
+// and swaps the pointer, so that the path of a request takes no lock.
+type view struct {
+	settingsKnown bool
+	rosterKnown   bool
+	policies      map[place.Service]*config.Policy
+	versions      map[string]uint64
+	entries       map[place.Instance]store.Entry
+	zoneEntries   map[place.Zone][]store.Entry
+	targets       map[place.Service]map[place.Zone][]store.Target
+	clients       map[place.Target]*target.Client
+}
+
+func newView() *view {
+	return &view{policies: map[place.Service]*config.Policy{}, versions: map[string]uint64{}}
+}
+
+// withPolicy returns a copy in which the object's policy is in force. An
+// object no newer than the one in force changes nothing.
+func (v *view) withPolicy(object store.Object, service place.Service, policy *config.Policy) *view {
+	next := *v
+	next.policies = maps.Clone(v.policies)
+	next.versions = maps.Clone(v.versions)
+	next.versions[object.Path()] = object.Version()
+	if policy == nil {
+		delete(next.policies, service)
+	} else {
+		next.policies[service] = policy
+	}
+	return &next
+}
+
+// withRoster returns a copy that knows the instances of the list. zone is the
+// availability zone whose targets this process talks to itself.
+func (v *view) withRoster(roster store.Roster, zone place.Zone) *view {
+	next := *v
+	next.rosterKnown = true
+	next.entries = map[place.Instance]store.Entry{}
+	next.zoneEntries = map[place.Zone][]store.Entry{}
+	for _, entry := range roster.Entries {
+		next.entries[entry.Instance] = entry
+		next.zoneEntries[entry.Zone] = append(next.zoneEntries[entry.Zone], entry)
+	}
+	next.targets = map[place.Service]map[place.Zone][]store.Target{}
+	next.clients = map[place.Target]*target.Client{}
+	for _, t := range roster.Targets {
+		zones := next.targets[t.Service]
+		if zones == nil {
+			zones = map[place.Zone][]store.Target{}
+			next.targets[t.Service] = zones
+		}
+		zones[t.Zone] = append(zones[t.Zone], t)
+		if t.Zone == zone {
+			next.clients[t.Target] = v.client(t)
+		}
+	}
+	return &next
+}
+
+// client returns the client of the target that is in use, or a new one.
+func (v *view) client(t store.Target) *target.Client {
+	if known := v.clients[t.Target]; known != nil && known.Address() == t.Address {
+		return known
+	}
+	connections := config.DefaultConnections
+	if policy := v.policies[t.Service]; policy != nil {
+		connections = policy.Connections()
+	}
+	return target.New(t.Target, t.Address, connections)
+}
+
+// usable returns the targets of the service in the availability zone that may
+// get new work.
+func (v *view) usable(service place.Service, policy *config.Policy, zone place.Zone) []store.Target {
+	return slices.DeleteFunc(slices.Clone(v.targets[service][zone]), func(t store.Target) bool {
+		return t.State == store.StateLeaving || policy.Leaving(t.Target)
+	})
+}
--- /dev/null
+++ b/peers/beat.go
@@ -0,0 +1,129 @@
+package peers
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// Times of the heartbeats.
+const (
+	// BeatInterval is the time between two heartbeats to a peer.
+	BeatInterval = 500 * time.Millisecond
+	// BeatTimeout is how long a peer may be silent before it counts as
+	// unreachable.
+	BeatTimeout = 2 * time.Second
+)
+
+// Caller makes calls to peers.
+type Caller interface {
+	Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error)
+}
+
+// Health is what the heartbeats tell of one peer.
+type Health struct {
+	incarnation uint64
+	leaving     bool
+	heard       time.Time
+}
+
+// Leaving tells whether the peer said that it is about to stop.
+func (h Health) Leaving() bool { return h.leaving }
+
+// Incarnation returns the number of the peer's process, 0 if it was never
+// heard.
+func (h Health) Incarnation() uint64 { return h.incarnation }
+
+// Reachable tells whether the peer was heard within BeatTimeout before now.
+func (h Health) Reachable(now time.Time) bool { return now.Sub(h.heard) <= BeatTimeout }
+
+// Heart sends heartbeats to every peer and keeps what comes back.
+type Heart struct {
+	self    wire.Hello
+	caller  Caller
+	now     func() time.Time
+	leaving atomic.Bool
+	peers   atomic.Pointer[[]place.Instance]
+	health  atomic.Pointer[map[place.Instance]Health]
+}
+
+// NewHeart makes a Heart without peers.
+func NewHeart(self wire.Hello, caller Caller, now func() time.Time) *Heart {
+	h := &Heart{self: self, caller: caller, now: now}
+	h.peers.Store(&[]place.Instance{})
+	h.health.Store(&map[place.Instance]Health{})
+	return h
+}
+
+// SetPeers names the peers that get heartbeats.
+func (h *Heart) SetPeers(peers []place.Instance) { h.peers.Store(&peers) }
+
+// Leave makes the next heartbeats say that this process is about to stop.
+func (h *Heart) Leave() { h.leaving.Store(true) }
+
+// Health returns what is known of a peer.
+func (h *Heart) Health(instance place.Instance) Health { return (*h.health.Load())[instance] }
+
+// Run sends heartbeats until ctx ends.
+func (h *Heart) Run(ctx context.Context) {
+	ticker := time.NewTicker(BeatInterval)
+	defer ticker.Stop()
+	for {
+		h.Round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Round sends one heartbeat to every peer and takes in the answers.
+func (h *Heart) Round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, BeatInterval)
+	defer cancel()
+	peers := *h.peers.Load()
+	found := make([]*Health, len(peers))
+	var tasks conc.WaitGroup
+	for i, peer := range peers {
+		tasks.Go(func() { found[i] = h.beat(ctx, peer) })
+	}
+	tasks.Wait()
+	h.take(peers, found)
+}
+
+func (h *Heart) beat(ctx context.Context, peer place.Instance) *Health {
+	beat := &wire.Beat{Instance: h.self.Instance, Incarnation: h.self.Incarnation, Leaving: h.leaving.Load()}
+	answer, err := h.caller.Call(ctx, peer, beat)
+	if err != nil {
+		return nil
+	}
+	ack, ok := answer.(*wire.BeatAck)
+	if !ok {
+		return nil
+	}
+	return &Health{incarnation: ack.Incarnation, leaving: ack.Leaving, heard: h.now()}
+}
+
+func (h *Heart) take(peers []place.Instance, found []*Health) {
+	before := *h.health.Load()
+	after := make(map[place.Instance]Health, len(peers))
+	for i, peer := range peers {
+		if found[i] != nil {
+			after[peer] = *found[i]
+		} else if known, ok := before[peer]; ok {
+			after[peer] = known
+		}
+	}
+	h.health.Store(&after)
+}
+
+// Answer answers the heartbeat of a peer.
+func (h *Heart) Answer() *wire.BeatAck {
+	return &wire.BeatAck{Incarnation: h.self.Incarnation, Leaving: h.leaving.Load()}
+}
--- /dev/null
+++ b/peers/pool.go
@@ -0,0 +1,154 @@
+// Package peers holds the connections from this process to the other entry
+// instances, and what their heartbeats tell of them.
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// DialTimeout bounds how long a connection to a peer may take to open.
+const DialTimeout = 500 * time.Millisecond
+
+// DialFunc opens a connection to a peer's address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a TCP connection.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return conn, errors.Wrapf(err, "connect to the peer at %s", address)
+}
+
+// Pool keeps one connection to each peer that is called. It opens a connection
+// at the first call and again at the first call after one failed.
+type Pool struct {
+	self wire.Hello
+	dial DialFunc
+
+	mu    sync.Mutex
+	links map[place.Instance]*link
+}
+
+// New makes a pool without peers.
+func New(self wire.Hello, dial DialFunc) *Pool {
+	return &Pool{self: self, dial: dial, links: map[place.Instance]*link{}}
+}
+
+// SetAddresses names every peer and its address. Connections to instances that
+// are no longer named, or have another address now, are closed.
+func (p *Pool) SetAddresses(addresses map[place.Instance]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for instance, l := range p.links {
+		if addresses[instance] != l.address {
+			delete(p.links, instance)
+			l.close()
+		}
+	}
+	for instance, address := range addresses {
+		if _, known := p.links[instance]; !known && instance != p.self.Instance {
+			p.links[instance] = &link{pool: p, instance: instance, address: address, opening: make(chan struct{}, 1)}
+		}
+	}
+}
+
+// Call sends a message to a peer and waits for its answer. An error holds
+// wire.ErrNotSent in its chain if nothing was sent.
+func (p *Pool) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	p.mu.Lock()
+	l, known := p.links[instance]
+	p.mu.Unlock()
+	if !known {
+		return nil, errors.Mark(errors.Newf("instance %s is not in the platform's list", instance), wire.ErrNotSent)
+	}
+	client, err := l.open(ctx)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "call instance %s", instance), wire.ErrNotSent)
+	}
+	answer, err := client.Call(ctx, message)
+	return answer, errors.Wrapf(err, "call instance %s", instance)
+}
+
+// Close ends every connection.
+func (p *Pool) Close() { p.SetAddresses(nil) }
+
+// link is the connection to one peer.
+type link struct {
+	pool     *Pool
+	instance place.Instance
+	address  string
+	opening  chan struct{}
+
+	mu     sync.Mutex
+	client *wire.Client
+	closed bool
+}
+
+// open returns the open connection or makes one. Only one caller at a time
+// dials; the others wait as long as their contexts allow.
+func (l *link) open(ctx context.Context) (*wire.Client, error) {
+	if client := l.usable(); client != nil {
+		return client, nil
+	}
+	select {
+	case l.opening <- struct{}{}:
+		defer func() { <-l.opening }()
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "wait for the connection")
+	}
+	if client := l.usable(); client != nil {
+		return client, nil
+	}
+	return l.connect(ctx)
+}
+
+func (l *link) connect(ctx context.Context) (*wire.Client, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	conn, err := l.pool.dial(ctx, l.address)
+	if err != nil {
+		return nil, err
+	}
+	client, err := wire.NewClient(conn, l.pool.self)
+	if err != nil {
+		return nil, err
+	}
+	if client.Peer().Instance != l.instance {
+		client.Close()
+		return nil, errors.Newf("instance %s answers at %s; want %s", client.Peer().Instance, l.address, l.instance)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		client.Close()
+		return nil, errors.Newf("instance %s left the platform's list", l.instance)
+	}
+	l.client = client
+	return client, nil
+}
+
+func (l *link) usable() *wire.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil || l.client.Failed() != nil {
+		return nil
+	}
+	return l.client
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.client != nil {
+		l.client.Close()
+	}
+}
--- /dev/null
+++ b/setup/entry.go
@@ -0,0 +1,134 @@
+// Package setup holds the settings of a process: what its flags and
+// environment variables may say, and the checks made before it starts.
+package setup
+
+import (
+	"flag"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+// EnvPrefix begins the name of every environment variable: the flag
+// --caller-address is also ENDIVECHUTE_CALLER_ADDRESS.
+const EnvPrefix = "ENDIVECHUTE"
+
+// Bounds of the settings.
+const (
+	DrainTimeoutMin = time.Second
+	DrainTimeoutMax = time.Hour
+)
+
+// ErrUsage is in the chain of every error that says that a setting is wrong.
+var ErrUsage = errors.New("wrong setting")
+
+// Entry holds the settings of an entry process.
+type Entry struct {
+	instance        string
+	zone            string
+	callerAddress   string
+	peerAddress     string
+	operatorAddress string
+	platformAddress string
+	logLevel        string
+	logFormat       string
+	drainTimeout    time.Duration
+}
+
+// NewEntry registers the flags of an entry process. The values are to be read
+// after the flags were parsed and Check returned nil.
+func NewEntry(flags *flag.FlagSet) *Entry {
+	e := &Entry{}
+	flags.StringVar(&e.instance, "instance", "", "name of this instance, unique in the fleet")
+	flags.StringVar(&e.zone, "zone", "", "availability zone of this instance, as region/zone")
+	flags.StringVar(&e.callerAddress, "caller-address", "", "IP:port on which callers are served")
+	flags.StringVar(&e.peerAddress, "peer-address", "", "IP:port on which the other entry instances are served")
+	flags.StringVar(&e.operatorAddress, "operator-address", "", "IP:port on which operators read dump, metrics and health")
+	flags.StringVar(&e.platformAddress, "platform-address", "", "IP:port of the platform's store")
+	flags.StringVar(&e.logLevel, "log-level", "info", "debug, info, warn or error")
+	flags.StringVar(&e.logFormat, "log-format", "text", "text or json")
+	flags.DurationVar(&e.drainTimeout, "drain-timeout", 30*time.Second, "longest time a graceful shutdown waits for running requests")
+	return e
+}
+
+// Check tells whether the settings can be used. The error names the setting,
+// what was given and what is allowed, and holds ErrUsage.
+func (e *Entry) Check() error {
+	if err := place.CheckName("instance", e.instance); err != nil {
+		return usage(err)
+	}
+	if _, err := place.ParseZone(e.zone); err != nil {
+		return usage(errors.Wrap(err, "zone"))
+	}
+	if err := e.checkAddresses(); err != nil {
+		return err
+	}
+	if e.drainTimeout < DrainTimeoutMin || e.drainTimeout > DrainTimeoutMax {
+		return usage(errors.Newf("drain-timeout: %v is given; want %v to %v", e.drainTimeout, DrainTimeoutMin, DrainTimeoutMax))
+	}
+	return nil
+}
+
+func (e *Entry) checkAddresses() error {
+	own := map[string]string{}
+	for _, setting := range []struct{ name, value string }{
+		{"caller-address", e.callerAddress},
+		{"peer-address", e.peerAddress},
+		{"operator-address", e.operatorAddress},
+		{"platform-address", e.platformAddress},
+	} {
+		if err := CheckAddress(setting.name, setting.value); err != nil {
+			return err
+		}
+		if other, taken := own[setting.value]; taken {
+			return usage(errors.Newf("%s: %s is given, which %s has already; each needs an address of its own", setting.name, setting.value, other))
+		}
+		own[setting.value] = setting.name
+	}
+	return nil
+}
+
+// CheckAddress tells whether value is an IP number and a port. The error names
+// the setting and holds ErrUsage.
+func CheckAddress(setting, value string) error {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return usage(errors.Newf("%s: %q is given; want an IP number and a port, such as 127.0.0.1:8000", setting, value))
+	}
+	if _, err := net.LookupPort("tcp", port); err != nil {
+		return usage(errors.Newf("%s: port %q is given; want 1 to 65535", setting, port))
+	}
+	return nil
+}
+
+func usage(err error) error { return errors.Mark(err, ErrUsage) }
+
+// Instance returns the name of the instance.
+func (e *Entry) Instance() place.Instance { return place.Instance(e.instance) }
+
+// Zone returns the availability zone of the instance.
+func (e *Entry) Zone() place.Zone { return place.Zone(e.zone) }
+
+// CallerAddress returns the address of the callers' port.
+func (e *Entry) CallerAddress() string { return e.callerAddress }
+
+// PeerAddress returns the address of the peers' port.
+func (e *Entry) PeerAddress() string { return e.peerAddress }
+
+// OperatorAddress returns the address of the operators' port.
+func (e *Entry) OperatorAddress() string { return e.operatorAddress }
+
+// PlatformAddress returns the address of the platform's store.
+func (e *Entry) PlatformAddress() string { return e.platformAddress }
+
+// LogLevel returns the lowest level that is logged.
+func (e *Entry) LogLevel() string { return e.logLevel }
+
+// LogFormat returns the format of the log, text or json.
+func (e *Entry) LogFormat() string { return e.logFormat }
+
+// DrainTimeout returns how long a graceful shutdown may take.
+func (e *Entry) DrainTimeout() time.Duration { return e.drainTimeout }
