Add the load tool: look-ups, keys, verdicts and a check against the targets' logs

Ruled out: a closed loop, which sends less when the system is slow and so hides the wait; latencies count from the time due. Before: nothing sent requests. An entry that loses, doubles, mislabels or mixes up one answer was not found out.

--- /dev/null
+++ b/load/lookup.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/target"
+)
+
+const (
+	lookupTimeout     = 2 * time.Second
+	connectionsMax    = 2048
+	numberRandomShift = 20
+	routeSpareMin     = 100 * time.Millisecond
+)
+
+// route is a look-up's answer, kept until it expires.
+type route struct {
+	entries   []string
+	keyPrefix string
+	expires   time.Time
+	comeBack  time.Time
+}
+
+// resolver asks entries for routes and keeps them, as callers do.
+type resolver struct {
+	seeds   []string
+	mutex   sync.Mutex
+	routes  map[place.Service]*route
+	clients map[string]*target.Client
+	number  atomic.Uint64
+	lookups atomic.Int64
+}
+
+func newResolver(seeds []string, numberStart uint64) *resolver {
+	r := &resolver{seeds: seeds, routes: map[place.Service]*route{}, clients: map[string]*target.Client{}}
+	r.number.Store(numberStart << numberRandomShift)
+	return r
+}
+
+// client returns the kept connections to an address.
+func (r *resolver) client(address string) *target.Client {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	c := r.clients[address]
+	if c == nil {
+		c = target.New(place.Target(address), address, connectionsMax)
+		r.clients[address] = c
+	}
+	return c
+}
+
+func (r *resolver) close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, c := range r.clients {
+		c.Close()
+	}
+}
+
+// route returns a route that has not expired. Once its time to come back has
+// passed, one caller asks for a new one; if that fails the old one serves on
+// until it expires.
+func (r *resolver) route(ctx context.Context, service place.Service) (*route, error) {
+	now := time.Now()
+	r.mutex.Lock()
+	kept := r.routes[service]
+	fresh := kept != nil && now.Before(kept.comeBack)
+	usable := kept != nil && now.Add(routeSpareMin).Before(kept.expires)
+	if usable && !fresh {
+		later := *kept
+		later.comeBack = now.Add(routeSpareMin)
+		r.routes[service] = &later
+	}
+	r.mutex.Unlock()
+	if fresh && usable {
+		return kept, nil
+	}
+	asked, err := r.ask(ctx, service, kept)
+	if err != nil && usable {
+		return kept, nil //nolint:nilerr // the kept answer still holds
+	}
+	return asked, err
+}
+
+// forget drops a route whose entry asked the caller to look up again.
+func (r *resolver) forget(service place.Service, used *route) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if kept := r.routes[service]; kept != nil && kept.keyPrefix == used.keyPrefix {
+		delete(r.routes, service)
+	}
+}
+
+func (r *resolver) ask(ctx context.Context, service place.Service, kept *route) (*route, error) {
+	var last error
+	addresses := r.seeds
+	if kept != nil {
+		addresses = append(append([]string{}, kept.entries...), r.seeds...)
+	}
+	first := int(r.lookups.Add(1)) % len(r.seeds)
+	if kept == nil {
+		addresses = append(append([]string{}, r.seeds[first:]...), r.seeds[:first]...)
+	}
+	for _, address := range addresses {
+		found, err := r.askOne(ctx, address, service)
+		if err == nil {
+			r.mutex.Lock()
+			r.routes[service] = found
+			r.mutex.Unlock()
+			return found, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, errors.Wrapf(last, "look up %s at %d entries", service, len(addresses))
+}
+
+func (r *resolver) askOne(ctx context.Context, address string, service place.Service) (*route, error) {
+	asked := time.Now()
+	request := target.NewRequest("GET", "/v1/lookup?service="+url.QueryEscape(string(service)), asked.Add(lookupTimeout))
+	answer, err := r.client(address).Do(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status() != statusOK {
+		return nil, errors.Newf("entry %s: look-up status %d: %.200s", address, answer.Status(), answer.Body())
+	}
+	var body struct {
+		Entries []struct {
+			Address string `json:"address"`
+		} `json:"entries"`
+		KeyPrefix       string `json:"key_prefix"`
+		ExpiresInMillis int64  `json:"expires_in_ms"`
+		ComeBackMillis  int64  `json:"come_back_ms"`
+	}
+	if err := json.Unmarshal(answer.Body(), &body); err != nil {
+		return nil, errors.Wrapf(err, "entry %s: look-up", address)
+	}
+	if len(body.Entries) == 0 {
+		return nil, errors.Newf("entry %s: the look-up names no entry", address)
+	}
+	found := &route{keyPrefix: body.KeyPrefix, expires: asked.Add(millis(body.ExpiresInMillis)), comeBack: asked.Add(millis(body.ComeBackMillis))}
+	for _, e := range body.Entries {
+		found.entries = append(found.entries, e.Address)
+	}
+	return found, nil
+}
+
+// key makes the next key under the prefix of a route.
+func (r *resolver) key(prefix string) string {
+	return prefix + "." + strconv.FormatUint(r.number.Add(1), 10)
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,219 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/stub"
+	"github.com/endivechute/endivechute/target"
+)
+
+// The headers of the callers' interface.
+const (
+	headerVerdict  = "Endivechute-Verdict"
+	headerReason   = "Endivechute-Reason"
+	headerComeBack = "Endivechute-Come-Back-Ms"
+	headerDeadline = "Endivechute-Deadline-Ms"
+	headerLookUp   = "Endivechute-Look-Up"
+)
+
+const (
+	attemptShare = 2
+	attemptMin   = 250 * time.Millisecond
+	pauseMin     = 5 * time.Millisecond
+)
+
+// Outcome is what a caller knows of one of its requests in the end.
+type Outcome string
+
+// The outcomes. OutcomeUnknown means that no entry gave a verdict.
+const (
+	OutcomeRan        Outcome = "ran"
+	OutcomeNotRun     Outcome = "not-run"
+	OutcomeMayHaveRun Outcome = "may-have-run"
+	OutcomeUnknown    Outcome = "unknown"
+	OutcomeSkipped    Outcome = "skipped"
+)
+
+// sent is one request of a caller with all that came of it.
+type sent struct {
+	id       string
+	kind     *Kind
+	path     string
+	body     []byte
+	due      time.Time
+	took     time.Duration
+	outcome  Outcome
+	reason   errs.Reason
+	wrong    string
+	attempts []attempt
+}
+
+// attempt is one try under one id and key. A repeat after an unknown fate
+// belongs to the same attempt, because it uses the same id and key.
+type attempt struct {
+	id      string
+	key     string
+	outcome Outcome
+	repeats int
+}
+
+func newSent(id string, kind *Kind, number int, due time.Time) *sent {
+	body := bytes.Repeat([]byte{'x'}, kind.BodyBytes)
+	copy(body, strconv.Itoa(number))
+	return &sent{id: id, kind: kind, path: kind.path(number), body: body, due: due, outcome: OutcomeUnknown}
+}
+
+// told is what one exchange with an entry came to.
+type told struct {
+	outcome  Outcome
+	reason   errs.Reason
+	comeBack time.Duration
+	// lookUp: the entry asks the caller to look up again.
+	lookUp bool
+	// unreachable: nothing was sent, because the entry cannot be reached.
+	unreachable bool
+	answer      target.Answer
+}
+
+// send tries the request until it ran, its fate is final, or its time is over.
+func (c *caller) send(ctx context.Context, s *sent) {
+	deadline := s.due.Add(millis(int64(s.kind.DeadlineMillis)))
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	for try := range c.options.Attempts {
+		said := c.attempt(ctx, s, try)
+		s.outcome, s.reason = said.outcome, said.reason
+		if said.outcome == OutcomeRan {
+			s.took = time.Since(s.due)
+			s.wrong = s.check(said.answer)
+			return
+		}
+		if said.outcome != OutcomeNotRun && s.kind.NonIdempotent {
+			return
+		}
+		pause := max(said.comeBack, pauseMin)
+		if time.Until(deadline) <= pause || !sleepUntil(ctx, time.Now().Add(pause)) {
+			return
+		}
+	}
+}
+
+// attempt tries the request under one id and one key. As long as no entry gives
+// a verdict it goes on to the next entry with the same key. A refusal by the
+// second entry tells the fate of a non-idempotent request, whose key leads all
+// entries to one place; that of an idempotent one stays in doubt.
+func (c *caller) attempt(ctx context.Context, s *sent, try int) told {
+	a := attempt{id: fmt.Sprintf("%s.%d", s.id, try), outcome: OutcomeUnknown}
+	defer func() { s.attempts = append(s.attempts, a) }()
+	if c.options.Baseline {
+		said := c.direct(ctx, s, a)
+		a.outcome = said.outcome
+		return said
+	}
+	used, err := c.resolver.route(ctx, s.kind.Service)
+	if err != nil {
+		a.outcome = OutcomeNotRun
+		return told{outcome: OutcomeNotRun, reason: "no-look-up"}
+	}
+	if s.kind.NonIdempotent {
+		a.key = c.resolver.key(used.keyPrefix)
+	}
+	said := told{outcome: OutcomeNotRun, reason: "no-entry"}
+	doubt := false
+	for i, entry := range used.entries {
+		last := i == len(used.entries)-1
+		said = c.exchange(ctx, entry, s, a, last)
+		if said.lookUp || said.unreachable {
+			c.resolver.forget(s.kind.Service, used)
+		}
+		doubt = doubt || said.outcome == OutcomeUnknown
+		final := said.outcome != OutcomeUnknown && !said.unreachable
+		if final || ctx.Err() != nil {
+			break
+		}
+		a.repeats++
+	}
+	if said.outcome == OutcomeNotRun && doubt && (said.unreachable || !s.kind.NonIdempotent) {
+		said.outcome = OutcomeUnknown
+	}
+	a.outcome = said.outcome
+	return said
+}
+
+// exchange sends the request to one entry and reads the verdict. Unless the
+// entry is the last one, it gets only a part of the time that is left.
+func (c *caller) exchange(ctx context.Context, entry string, s *sent, a attempt, last bool) told {
+	deadline, _ := ctx.Deadline()
+	if left := time.Until(deadline); !last {
+		deadline = time.Now().Add(min(left, max(left/attemptShare, attemptMin)))
+	}
+	left := max(time.Until(deadline).Milliseconds(), 1)
+	headers := []target.Header{
+		target.NewHeader(target.HeaderRequest, a.id),
+		target.NewHeader(headerDeadline, strconv.FormatInt(left, 10)),
+	}
+	path := "/s/" + string(s.kind.Service) + s.path
+	request := target.NewRequest(s.kind.Method, path, deadline).WithBody(headers, s.body).WithKey(a.key)
+	answer, err := c.resolver.client(entry).Do(ctx, request)
+	if err != nil {
+		reason := errs.AsRefusal(err).Reason()
+		if errs.VerdictOf(err) == errs.VerdictNotRun {
+			return told{outcome: OutcomeNotRun, reason: reason, unreachable: true}
+		}
+		return told{outcome: OutcomeUnknown, reason: reason}
+	}
+	said := told{
+		outcome: OutcomeUnknown,
+		reason:  errs.Reason(answer.Header(headerReason)),
+		lookUp:  answer.Header(headerLookUp) != "",
+		answer:  answer,
+	}
+	if verdict, err := errs.ParseVerdict(answer.Header(headerVerdict)); err == nil {
+		said.outcome = Outcome(verdict.String())
+	}
+	if n, err := strconv.ParseInt(answer.Header(headerComeBack), 10, 64); err == nil {
+		said.comeBack = millis(n)
+	}
+	return said
+}
+
+// direct sends the request straight to the next target in turn.
+func (c *caller) direct(ctx context.Context, s *sent, a attempt) told {
+	addresses := c.options.Targets[s.kind.Service]
+	address := addresses[int(c.next.Add(1)%uint64(len(addresses)))]
+	request := target.NewRequest(s.kind.Method, s.path, time.Time{}).
+		WithBody([]target.Header{target.NewHeader(target.HeaderRequest, a.id)}, s.body).WithKey(a.id)
+	answer, err := c.resolver.client(address).Do(ctx, request)
+	switch {
+	case errs.VerdictOf(err) == errs.VerdictNotRun, err == nil && answer.Header(stub.HeaderShed) != "":
+		return told{outcome: OutcomeNotRun}
+	case err != nil:
+		return told{outcome: OutcomeMayHaveRun}
+	}
+	return told{outcome: OutcomeRan, answer: answer}
+}
+
+// check tells what is wrong with an answer that was passed on as whole, or "".
+func (s *sent) check(answer target.Answer) string {
+	var echo stub.Echo
+	if err := json.Unmarshal(answer.Body(), &echo); err != nil {
+		return fmt.Sprintf("request %s: the answer is not whole: %.100q", s.id, answer.Body())
+	}
+	a := s.attempts[len(s.attempts)-1]
+	if echo.Request != a.id || echo.BodyHash != stub.HashBody(s.body) {
+		return fmt.Sprintf("request %s: the answer belongs to request %s", a.id, echo.Request)
+	}
+	if s.kind.NonIdempotent && a.key != "" && echo.Key != a.key {
+		return fmt.Sprintf("request %s: the answer belongs to key %s, not %s", a.id, echo.Key, a.key)
+	}
+	if echo.Service != string(s.kind.Service) {
+		return fmt.Sprintf("request %s: the answer comes from service %s, not %s", a.id, echo.Service, s.kind.Service)
+	}
+	return ""
+}
--- /dev/null
+++ b/load/sum.go
@@ -0,0 +1,254 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/stub"
+	"github.com/endivechute/endivechute/target"
+)
+
+const (
+	histogramMaxMicros = 60_000_000
+	histogramDigits    = 3
+	microsPerMilli     = 1000.0
+	logTimeout         = 10 * time.Second
+	logBytesMax        = 1 << 30
+	examplesMax        = 10
+)
+
+// KindSummary sums up the requests of one kind. Latencies count from the time
+// at which a request was due to the whole answer, tries included.
+type KindSummary struct {
+	Sent       int         `json:"sent"`
+	Ran        int         `json:"ran"`
+	NotRun     int         `json:"not_run"`
+	MayHaveRun int         `json:"may_have_run"`
+	Unknown    int         `json:"unknown"`
+	Skipped    int         `json:"skipped"`
+	Attempts   int         `json:"attempts"`
+	Repeats    int         `json:"repeats"`
+	P50Millis  float64     `json:"p50_ms"`
+	P99Millis  float64     `json:"p99_ms"`
+	P999Millis float64     `json:"p999_ms"`
+	MaxMillis  float64     `json:"max_ms"`
+	Reasons    ReasonCount `json:"reasons,omitempty"`
+	histogram  *hdrhistogram.Histogram
+}
+
+// ReasonCount counts the requests that did not run to an answer, by reason.
+type ReasonCount map[errs.Reason]int
+
+// Verification compares what callers were told with what targets ran.
+type Verification struct {
+	// Done tells whether the targets' logs were read.
+	Done bool `json:"done"`
+	// Lost requests were reported as run, and no target ran them.
+	Lost int `json:"lost"`
+	// Doubled are non-idempotent requests that ran more than once.
+	Doubled int `json:"doubled"`
+	// NotRunThatRan are attempts reported as not run that a target ran.
+	NotRunThatRan int `json:"not_run_that_ran"`
+	// Wrong answers belong to another request or are not whole.
+	Wrong int `json:"wrong"`
+	// Executions is how many requests of this run the targets began.
+	Executions int `json:"executions"`
+	// Examples describe the first wrong outcomes.
+	Examples []string `json:"examples,omitempty"`
+}
+
+// Summary is the result of a run.
+type Summary struct {
+	Mix           string                  `json:"mix"`
+	Baseline      bool                    `json:"baseline"`
+	Seconds       float64                 `json:"seconds"`
+	Sent          int                     `json:"sent"`
+	UsefulPercent float64                 `json:"useful_percent"`
+	Kinds         map[string]*KindSummary `json:"kinds"`
+	// Idempotent and NonIdempotent sum up the kinds of each sort.
+	Idempotent    *KindSummary `json:"idempotent"`
+	NonIdempotent *KindSummary `json:"non_idempotent"`
+	Verification  Verification `json:"verification"`
+}
+
+// Broken tells whether a promise was broken: a request lost, doubled, reported
+// as not run although it ran, or answered with another's or a cut answer.
+func (s *Summary) Broken() bool {
+	v := s.Verification
+	return v.Lost+v.Doubled+v.NotRunThatRan+v.Wrong > 0
+}
+
+func newKindSummary() *KindSummary {
+	return &KindSummary{
+		histogram: hdrhistogram.New(1, histogramMaxMicros, histogramDigits),
+		Reasons:   ReasonCount{},
+	}
+}
+
+func (k *KindSummary) add(s *sent) {
+	k.Sent++
+	switch s.outcome {
+	case OutcomeRan:
+		k.Ran++
+		_ = k.histogram.RecordValue(min(s.took.Microseconds(), histogramMaxMicros))
+	case OutcomeNotRun:
+		k.NotRun++
+	case OutcomeMayHaveRun:
+		k.MayHaveRun++
+	case OutcomeUnknown:
+		k.Unknown++
+	case OutcomeSkipped:
+		k.Skipped++
+	}
+	if s.outcome != OutcomeRan && s.reason != "" {
+		k.Reasons[s.reason]++
+	}
+	k.Attempts += len(s.attempts)
+	for _, a := range s.attempts {
+		k.Repeats += a.repeats
+	}
+}
+
+func (k *KindSummary) finish() {
+	k.P50Millis = float64(k.histogram.ValueAtQuantile(50)) / microsPerMilli
+	k.P99Millis = float64(k.histogram.ValueAtQuantile(99)) / microsPerMilli
+	k.P999Millis = float64(k.histogram.ValueAtQuantile(99.9)) / microsPerMilli
+	k.MaxMillis = float64(k.histogram.Max()) / microsPerMilli
+}
+
+func (c *caller) sum(took time.Duration) Summary {
+	summary := Summary{
+		Mix: c.options.Mix.Name, Baseline: c.options.Baseline, Seconds: took.Seconds(), Sent: len(c.sent),
+		Kinds: map[string]*KindSummary{}, Idempotent: newKindSummary(), NonIdempotent: newKindSummary(),
+	}
+	for _, k := range c.options.Mix.Kinds {
+		summary.Kinds[k.Name] = newKindSummary()
+	}
+	for _, s := range c.sent {
+		summary.Kinds[s.kind.Name].add(s)
+		if s.kind.NonIdempotent {
+			summary.NonIdempotent.add(s)
+		} else {
+			summary.Idempotent.add(s)
+		}
+		if s.wrong != "" {
+			summary.Verification.Wrong++
+			summary.Verification.example("%s", s.wrong)
+		}
+	}
+	for _, k := range summary.Kinds {
+		k.finish()
+	}
+	summary.Idempotent.finish()
+	summary.NonIdempotent.finish()
+	if summary.Sent > 0 {
+		summary.UsefulPercent = 100 * float64(summary.Idempotent.Ran+summary.NonIdempotent.Ran) / float64(summary.Sent)
+	}
+	return summary
+}
+
+func (v *Verification) example(format string, args ...any) {
+	if len(v.Examples) < examplesMax {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// verify reads the targets' logs and looks for each attempt in them.
+func (c *caller) verify(summary *Summary) error {
+	ran, err := c.executions()
+	if err != nil {
+		return err
+	}
+	v := &summary.Verification
+	v.Done = true
+	for _, s := range c.sent {
+		count := 0
+		for _, a := range s.attempts {
+			count += ran[a.id]
+			if a.outcome == OutcomeNotRun && ran[a.id] > 0 {
+				v.NotRunThatRan++
+				v.example("request %s, key %q: reported as not run, ran %d times", a.id, a.key, ran[a.id])
+			}
+			if a.outcome == OutcomeRan && ran[a.id] == 0 {
+				v.Lost++
+				v.example("request %s, key %q: reported as run, no target ran it", a.id, a.key)
+			}
+		}
+		v.Executions += count
+		if s.kind.NonIdempotent && count > 1 {
+			v.Doubled++
+			v.example("request %s: non-idempotent, ran %d times in %d attempts", s.id, count, len(s.attempts))
+		}
+	}
+	return nil
+}
+
+// executions returns how often each attempt of this run was begun by a target.
+func (c *caller) executions() (map[string]int, error) {
+	ran := map[string]int{}
+	for service, addresses := range c.options.Targets {
+		for _, address := range addresses {
+			log, err := ReadLog(address)
+			if err != nil {
+				return nil, errors.Wrapf(err, "service %s", service)
+			}
+			for _, e := range log.Executions {
+				if strings.HasPrefix(e.Request, c.run) {
+					ran[e.Request]++
+				}
+			}
+		}
+	}
+	return ran, nil
+}
+
+// ReadLog reads what the target at the address ran.
+func ReadLog(address string) (stub.Log, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
+	defer cancel()
+	client := target.New("", address, 1)
+	defer client.Close()
+	answer, err := client.Do(ctx, target.NewRequest("GET", "/control/log", time.Time{}).WithAnswerBytesMax(logBytesMax))
+	if err != nil {
+		return stub.Log{}, errors.Wrapf(err, "log of the target at %s", address)
+	}
+	var log stub.Log
+	if err := json.Unmarshal(answer.Body(), &log); err != nil {
+		return stub.Log{}, errors.Wrapf(err, "log of the target at %s", address)
+	}
+	return log, nil
+}
+
+// Table writes the summary for a person.
+func (s *Summary) Table(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "kind\tsent\tran\tnot run\tmay have run\tunknown\tattempts\tp50 ms\tp99 ms\tp99.9 ms\t")
+	for _, name := range slices.Sorted(maps.Keys(s.Kinds)) {
+		s.Kinds[name].row(w, name)
+	}
+	s.Idempotent.row(w, "(idempotent)")
+	s.NonIdempotent.row(w, "(non-idempotent)")
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "write the table")
+	}
+	v := s.Verification
+	_, err := fmt.Fprintf(out, "useful %.2f %%, executions %d, lost %d, doubled %d, not run that ran %d, wrong %d, checked against logs: %v\n",
+		s.UsefulPercent, v.Executions, v.Lost, v.Doubled, v.NotRunThatRan, v.Wrong, v.Done)
+	return errors.Wrap(err, "write the table")
+}
+
+func (k *KindSummary) row(w io.Writer, name string) {
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t\n",
+		name, k.Sent, k.Ran, k.NotRun, k.MayHaveRun, k.Unknown, k.Attempts, k.P50Millis, k.P99Millis, k.P999Millis)
+}
--- a/target/report.go
+++ b/target/report.go
@@ -48,8 +48,7 @@
 // it was asked for.
 func (c *Client) Report(ctx context.Context) (Report, error) {
 	asked := time.Now()
-	request := NewRequest("GET", "/load", time.Time{})
-	request.answerBytes = reportBytesMax
+	request := NewRequest("GET", "/load", time.Time{}).WithAnswerBytesMax(reportBytesMax)
 	answer, err := c.Do(ctx, request)
 	if err != nil {
 		return Report{}, err
--- a/target/request.go
+++ b/target/request.go
@@ -73,6 +73,12 @@
 	return r
 }
 
+// WithAnswerBytesMax returns a copy that takes answers of up to n bytes.
+func (r Request) WithAnswerBytesMax(n int) Request {
+	r.answerBytes = n
+	return r
+}
+
 // Method returns the HTTP method.
 func (r Request) Method() string { return r.method }
 
