Resolve the settings tree and keep it in immutable tables

Cause: a policy was read without checks, inheritance or versions. Ruled out: decoding into structs with encoding/json alone, which matches names in any case, takes the last of two equal names and stops at the first problem. Before: config.ParsePolicy filled in defaults and accepted any range. After: fleet, team and service objects are checked in full with the path of each field; numeric settings are inherited with their origin; the envelope keeps 32 change ids; config.Tables takes an object only if its version is greater and keeps the last good one. Caps inherited from a team scale diversions and allotments down. Conclusion: a region that diverts under a cap of 0, the default, diverts nothing: services that divert have to give cap_percent.

--- /dev/null
+++ b/config/envelope.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// Schema is the version of the envelope that this program writes and reads.
+	Schema = 1
+	// RecentChangesMax is how many change ids an object keeps.
+	RecentChangesMax = 32
+	// AuthorBytesMax is the longest name of an author, in bytes.
+	AuthorBytesMax = 128
+	// ChangeIDBytesMax is the longest change id, in bytes.
+	ChangeIDBytesMax = 64
+)
+
+// Envelope is what stands around the settings in each object: who wrote them,
+// by which change and when. The last change ids are kept, so that a writer
+// whose reply was lost can tell whether its write took effect even after
+// others followed it.
+type Envelope struct {
+	author    string
+	changeID  string
+	recent    []string
+	writtenAt time.Time
+	body      []byte
+}
+
+// NewEnvelope makes the envelope of a change that follows previous, which is
+// nil for the first one.
+func NewEnvelope(previous *Envelope, author, changeID string, writtenAt time.Time, body []byte) *Envelope {
+	var recent []string
+	if previous != nil {
+		recent = slices.Clone(previous.recent)
+	}
+	recent = append(recent, changeID)
+	if len(recent) > RecentChangesMax {
+		recent = recent[len(recent)-RecentChangesMax:]
+	}
+	return &Envelope{author: author, changeID: changeID, recent: recent, writtenAt: writtenAt.UTC(), body: body}
+}
+
+// Author returns who wrote the object.
+func (e *Envelope) Author() string { return e.author }
+
+// ChangeID returns the id of the change that wrote the object.
+func (e *Envelope) ChangeID() string { return e.changeID }
+
+// Includes tells whether the change is among the last RecentChangesMax that
+// wrote the object.
+func (e *Envelope) Includes(changeID string) bool { return slices.Contains(e.recent, changeID) }
+
+// WrittenAt returns when the author wrote it, by the author's clock.
+func (e *Envelope) WrittenAt() time.Time { return e.writtenAt }
+
+// Body returns the settings in JSON. The caller must not change them.
+func (e *Envelope) Body() []byte { return e.body }
+
+// envelopeForm is the form of an envelope in the store.
+type envelopeForm struct {
+	Schema        int             `json:"schema"`
+	Author        string          `json:"author"`
+	ChangeID      string          `json:"change_id"`
+	RecentChanges []string        `json:"recent_changes"`
+	WrittenAt     time.Time       `json:"written_at"`
+	Body          json.RawMessage `json:"body"`
+}
+
+// Encode returns the form that is written to the store.
+func (e *Envelope) Encode() ([]byte, error) {
+	text, err := json.Marshal(envelopeForm{
+		Schema: Schema, Author: e.author, ChangeID: e.changeID, RecentChanges: e.recent, WrittenAt: e.writtenAt, Body: e.body,
+	})
+	return text, errors.Wrap(err, "encode the object")
+}
+
+// ParseEnvelope reads the form that Encode writes and checks all but the body.
+func ParseEnvelope(value []byte) (*Envelope, error) {
+	if err := checkText(value); err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.DisallowUnknownFields()
+	var form envelopeForm
+	if err := decoder.Decode(&form); err != nil {
+		return nil, errors.Wrap(err, "envelope: want schema, author, change_id, recent_changes, written_at and body")
+	}
+	switch {
+	case form.Schema != Schema:
+		return nil, errors.Newf("schema: %d is given; this program reads %d", form.Schema, Schema)
+	case form.Author == "" || len(form.Author) > AuthorBytesMax:
+		return nil, errors.Newf("author: %d bytes are given; want 1 to %d", len(form.Author), AuthorBytesMax)
+	case form.ChangeID == "" || len(form.ChangeID) > ChangeIDBytesMax:
+		return nil, errors.Newf("change_id: %d bytes are given; want 1 to %d", len(form.ChangeID), ChangeIDBytesMax)
+	case len(form.RecentChanges) > RecentChangesMax || !slices.Contains(form.RecentChanges, form.ChangeID):
+		return nil, errors.Newf("recent_changes: %d ids are given; want 1 to %d with change_id among them", len(form.RecentChanges), RecentChangesMax)
+	case len(form.Body) == 0:
+		return nil, errors.New("body: none is given; want the settings")
+	}
+	return &Envelope{
+		author: form.Author, changeID: form.ChangeID, recent: form.RecentChanges, writtenAt: form.WrittenAt, body: form.Body,
+	}, nil
+}
--- a/config/policy.go
+++ b/config/policy.go
@@ -5,7 +5,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 	"time"
@@ -15,24 +14,6 @@
 	"github.com/endivechute/endivechute/place"
 )
 
-// Defaults of a policy that does not say otherwise.
-const (
-	DefaultDeadline      = 2 * time.Second
-	DefaultSlots         = 4
-	DefaultConnections   = 64
-	DefaultCapPercent    = 0
-	DefaultStepPercent   = 5
-	DefaultHedgePercent  = 5
-	DefaultRetryPercent  = 10
-	DefaultAnswerBytes   = 1 << 20
-	PolicyBytesMax       = 1 << 20
-	DeadlineMillisMax    = 600_000
-	SlotsMax             = 100_000
-	ConnectionsMax       = 1_000_000
-	HeaderNameBytesMax   = 128
-	NonIdempotentRuleMax = 256
-)
-
 // Rule names the requests of one method on one path. A path that ends in "*"
 // stands for every path that begins with what is before it.
 type Rule struct {
@@ -92,22 +73,20 @@
 // Percent returns the share of the arrivals, from 0 to 100.
 func (d Diversion) Percent() float64 { return d.percent }
 
-// Policy is the steering policy of one service, checked and with every default
-// filled in. It is never changed after it was made.
+// Policy is the steering policy of one service as one region sees it, checked
+// and with everything inherited filled in. It is never changed after it was
+// made.
 type Policy struct {
+	region        place.Region
+	values        [fieldCount]Value
+	byTarget      map[place.Target]values
+	byRegion      map[place.Region][fieldCount]Value
 	nonIdempotent []Rule
 	refused       []Refused
 	diversions    []Diversion
 	leaving       map[place.Target]bool
+	leavingZones  map[place.Zone]bool
 	allotments    map[place.Zone]float64
-	deadline      time.Duration
-	slots         int
-	connections   int
-	capPercent    float64
-	stepPercent   float64
-	hedgePercent  float64
-	retryPercent  float64
-	answerBytes   int
 }
 
 // NonIdempotent tells whether a request must run at most once.
@@ -131,114 +110,112 @@
 // Leaving tells whether the operators declared the target to be leaving.
 func (p *Policy) Leaving(target place.Target) bool { return p.leaving[target] }
 
+// LeavingAt tells whether the operators declared the target, or the whole
+// availability zone that it lies in, to be leaving.
+func (p *Policy) LeavingAt(target place.Target, zone place.Zone) bool {
+	return p.leaving[target] || p.leavingZones[zone]
+}
+
 // Allotment returns the percentage of the service's arrivals that an
 // availability zone may divert for home entries which are gone, 0 to 100.
 func (p *Policy) Allotment(zone place.Zone) float64 { return p.allotments[zone] }
 
+// Region returns the region whose settings the policy shows, "" for the
+// settings without those of any region.
+func (p *Policy) Region() place.Region { return p.region }
+
+// Value returns a numeric setting and its origin.
+func (p *Policy) Value(field Field) Value { return p.values[field] }
+
 // Deadline returns the time a request has when the caller names none.
-func (p *Policy) Deadline() time.Duration { return p.deadline }
+func (p *Policy) Deadline() time.Duration {
+	return time.Duration(p.values[FieldDeadline].number) * time.Millisecond
+}
 
 // Slots returns how many requests one target runs at once.
-func (p *Policy) Slots() int { return p.slots }
+func (p *Policy) Slots() int { return int(p.values[FieldSlots].number) }
+
+// SlotsOf returns how many requests the given target runs at once.
+func (p *Policy) SlotsOf(target place.Target) int { return int(p.valueOf(target, FieldSlots)) }
 
 // Connections returns how many connections one target accepts.
-func (p *Policy) Connections() int { return p.connections }
+func (p *Policy) Connections() int { return int(p.values[FieldConnections].number) }
+
+// ConnectionsOf returns how many connections the given target accepts.
+func (p *Policy) ConnectionsOf(target place.Target) int {
+	return int(p.valueOf(target, FieldConnections))
+}
+
+func (p *Policy) valueOf(target place.Target, field Field) float64 {
+	if block, found := p.byTarget[target]; found && block.given[field] {
+		return block.value[field]
+	}
+	return p.values[field].number
+}
 
 // CapPercent returns the greatest share of a region's arrivals that may be
 // diverted, in percent.
-func (p *Policy) CapPercent() float64 { return p.capPercent }
+func (p *Policy) CapPercent() float64 { return p.values[FieldCapPercent].number }
+
+// CapPercentOf returns the cap on what leaves the given region, in percent of
+// its arrivals.
+func (p *Policy) CapPercentOf(region place.Region) float64 {
+	if resolved, found := p.byRegion[region]; found {
+		return resolved[FieldCapPercent].number
+	}
+	return p.byRegion[""][FieldCapPercent].number
+}
+
+// lowestCap returns the lowest cap of any region. It bounds the allotments,
+// since they may be used for arrivals of every region.
+func (p *Policy) lowestCap() float64 {
+	lowest := float64(percentWhole)
+	for _, resolved := range p.byRegion {
+		lowest = min(lowest, resolved[FieldCapPercent].number)
+	}
+	return lowest
+}
 
 // StepPercent returns the greatest change of a diversion in one step, in
 // percent of the arrivals.
-func (p *Policy) StepPercent() float64 { return p.stepPercent }
+func (p *Policy) StepPercent() float64 { return p.values[FieldStepPercent].number }
 
 // HedgePercent returns the budget of hedged requests, in percent of the
 // idempotent requests.
-func (p *Policy) HedgePercent() float64 { return p.hedgePercent }
+func (p *Policy) HedgePercent() float64 { return p.values[FieldHedgePercent].number }
 
 // RetryPercent returns the budget of retries, in percent of the requests.
-func (p *Policy) RetryPercent() float64 { return p.retryPercent }
+func (p *Policy) RetryPercent() float64 { return p.values[FieldRetryPercent].number }
 
 // AnswerBytesMax returns the largest answer that is passed on, in bytes.
-func (p *Policy) AnswerBytesMax() int { return p.answerBytes }
-
-// policyBody is the form of a policy in the store. Pointers tell a value that
-// is not given from one that is zero.
-type policyBody struct {
-	NonIdempotent []struct {
-		Method string `json:"method"`
-		Path   string `json:"path"`
-	} `json:"non_idempotent"`
-	RefusedBeforeRun []struct {
-		Status int    `json:"status"`
-		Header string `json:"header"`
-	} `json:"refused_before_run"`
-	Diversions []struct {
-		From    string  `json:"from"`
-		To      string  `json:"to"`
-		Percent float64 `json:"percent"`
-	} `json:"diversions"`
-	Leaving        []string           `json:"leaving"`
-	Allotments     map[string]float64 `json:"allotments"`
-	DeadlineMillis *int               `json:"deadline_ms"`
-	Slots          *int               `json:"slots"`
-	Connections    *int               `json:"connections"`
-	CapPercent     *float64           `json:"cap_percent"`
-	StepPercent    *float64           `json:"step_percent"`
-	HedgePercent   *float64           `json:"hedge_percent"`
-	RetryPercent   *float64           `json:"retry_percent"`
-	AnswerBytes    *int               `json:"answer_bytes_max"`
-}
+func (p *Policy) AnswerBytesMax() int { return int(p.values[FieldAnswerBytes].number) }
 
-// ParsePolicy reads a policy from JSON, fills in the defaults and checks it.
-// The error names the field, what was given and what is allowed.
+// ParsePolicy reads the object of a service from JSON, checks it and fills in
+// the defaults, with nothing inherited. The error has a line for each problem:
+// the field, what was given and what is allowed.
 func ParsePolicy(text []byte) (*Policy, error) {
-	if len(text) > PolicyBytesMax {
-		return nil, errors.Newf("policy: %d bytes are given, at most %d are allowed", len(text), PolicyBytesMax)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	var body policyBody
-	if err := decoder.Decode(&body); err != nil {
+	service, err := parseBody(text, true)
+	if err != nil {
 		return nil, errors.Wrap(err, "policy")
 	}
-	if decoder.More() {
-		return nil, errors.New("policy: more text follows the object; want one JSON object")
-	}
-	return body.policy()
+	return resolvePolicy(&body{}, service, Origin{}, Origin{}, ""), nil
 }
 
-func (b *policyBody) policy() (*Policy, error) {
-	policy := &Policy{leaving: map[place.Target]bool{}, allotments: map[place.Zone]float64{}}
-	for _, r := range b.NonIdempotent {
-		policy.nonIdempotent = append(policy.nonIdempotent, Rule{method: r.Method, path: r.Path})
-	}
-	for _, r := range b.RefusedBeforeRun {
-		policy.refused = append(policy.refused, Refused{status: r.Status, header: r.Header})
-	}
-	for _, d := range b.Diversions {
-		policy.diversions = append(policy.diversions, Diversion{from: place.Region(d.From), to: place.Region(d.To), percent: d.Percent})
+// parseBody reads the object of a team, or of a service.
+func parseBody(text []byte, service bool) (*body, error) {
+	if err := checkText(text); err != nil {
+		return nil, err
 	}
-	for _, target := range b.Leaving {
-		policy.leaving[place.Target(target)] = true
-	}
-	for zone, percent := range b.Allotments {
-		policy.allotments[place.Zone(zone)] = percent
-	}
-	policy.deadline = time.Duration(valueOr(b.DeadlineMillis, int(DefaultDeadline/time.Millisecond))) * time.Millisecond
-	policy.slots = valueOr(b.Slots, DefaultSlots)
-	policy.connections = valueOr(b.Connections, DefaultConnections)
-	policy.capPercent = valueOr(b.CapPercent, DefaultCapPercent)
-	policy.stepPercent = valueOr(b.StepPercent, DefaultStepPercent)
-	policy.hedgePercent = valueOr(b.HedgePercent, DefaultHedgePercent)
-	policy.retryPercent = valueOr(b.RetryPercent, DefaultRetryPercent)
-	policy.answerBytes = valueOr(b.AnswerBytes, DefaultAnswerBytes)
-	return policy, nil
+	var r reader
+	b := r.body(text, service)
+	return b, r.err()
 }
 
-func valueOr[T any](given *T, fallback T) T {
-	if given == nil {
-		return fallback
+// checkText tells whether the text is one JSON value of an allowed length.
+func checkText(text []byte) error {
+	if len(text) > PolicyBytesMax {
+		return errors.Newf("%d bytes are given, at most %d are allowed", len(text), PolicyBytesMax)
 	}
-	return *given
+	var raw json.RawMessage
+	return errors.Wrap(json.Unmarshal(text, &raw), "broken JSON")
 }
--- /dev/null
+++ b/config/tables.go
@@ -0,0 +1,318 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+)
+
+// Check tells whether the value of an object that this package does not read
+// may come into force.
+type Check func(value []byte) error
+
+// Tables is an immutable snapshot of all objects in force. Apply makes the
+// next one, so that readers need no lock. A version in force never goes back:
+// an object is taken only if its version is greater than the one in force, and
+// one that fails its checks leaves the last good one in force.
+type Tables struct {
+	region   place.Region
+	checks   map[string]Check
+	items    map[string]item
+	policies map[place.Service]*Policy
+	fleet    *Fleet
+	buckets  [BucketCount]uint64
+	highest  uint64
+}
+
+// parsed is what was read from the object in force.
+type parsed struct {
+	body     *body
+	fleet    *Fleet
+	envelope *Envelope
+	since    time.Time
+}
+
+// NewTables makes empty tables for a process in the region. checks gives the
+// checks of the objects that this package does not read, by the prefix of
+// their paths; objects without a check are taken as they are.
+func NewTables(region place.Region, checks map[string]Check) *Tables {
+	return &Tables{
+		region: region, checks: checks, items: map[string]item{}, policies: map[place.Service]*Policy{},
+		fleet: &Fleet{},
+	}
+}
+
+// OutcomeKind says what became of an object that was offered to the tables.
+type OutcomeKind uint8
+
+// The kinds of outcomes.
+const (
+	// OutcomeOld: the version is not newer than what is held already.
+	OutcomeOld OutcomeKind = iota
+	// OutcomeTaken: the object is in force.
+	OutcomeTaken
+	// OutcomeRefused: the object failed its checks; what was in force stays.
+	OutcomeRefused
+)
+
+// Outcome is what became of one object that was offered to the tables.
+type Outcome struct {
+	kind    OutcomeKind
+	path    string
+	version uint64
+	problem error
+}
+
+// Kind returns whether the object was taken.
+func (o Outcome) Kind() OutcomeKind { return o.kind }
+
+// Path returns the path of the object.
+func (o Outcome) Path() string { return o.path }
+
+// Version returns the version that was offered.
+func (o Outcome) Version() uint64 { return o.version }
+
+// Problem returns why the object was refused, nil otherwise.
+func (o Outcome) Problem() error { return o.problem }
+
+// Apply returns the tables that follow when the objects are offered at the
+// time now, and what became of each object. The receiver stays as it is.
+func (t *Tables) Apply(objects []store.Object, now time.Time) (*Tables, []Outcome) {
+	next := *t
+	next.items = maps.Clone(t.items)
+	outcomes := make([]Outcome, 0, len(objects))
+	touched := map[place.Team]bool{}
+	for _, o := range objects {
+		outcome := next.offer(o, now)
+		outcomes = append(outcomes, outcome)
+		if outcome.kind == OutcomeTaken {
+			next.touch(o.Path(), touched)
+		}
+	}
+	if len(touched) > 0 {
+		next.policies = next.resolveTeams(touched)
+	}
+	return &next, outcomes
+}
+
+// offer takes one object into the tables, which the caller has copied.
+func (t *Tables) offer(o store.Object, now time.Time) Outcome {
+	outcome := Outcome{path: o.Path(), version: o.Version()}
+	old := t.items[o.Path()]
+	if o.Version() <= old.good.Version() || o.Version() == old.refused.Version() {
+		return outcome
+	}
+	if _, err := KindOf(o.Path()); err != nil {
+		outcome.kind = OutcomeRefused
+		outcome.problem = err
+		return outcome
+	}
+	read, err := t.read(o)
+	next := old
+	if err != nil {
+		if o.Version() < old.refused.Version() {
+			return outcome
+		}
+		outcome.kind = OutcomeRefused
+		outcome.problem = err
+		next.refused = o
+		next.problem = err
+	} else {
+		outcome.kind = OutcomeTaken
+		read.since = now
+		next.good = o
+		next.parsed = read
+		if old.refused.Version() < o.Version() {
+			next.refused = store.Object{}
+			next.problem = nil
+		}
+	}
+	bucket := bucketOf(o.Path())
+	t.buckets[bucket] += next.version(o.Path()).hash() - old.version(o.Path()).hash()
+	t.highest = max(t.highest, o.Version())
+	t.items[o.Path()] = next
+	return outcome
+}
+
+// read checks one object and parses it.
+func (t *Tables) read(o store.Object) (parsed, error) {
+	if o.Deleted() {
+		return parsed{}, nil
+	}
+	kind, err := KindOf(o.Path())
+	if err != nil {
+		return parsed{}, err
+	}
+	if kind == KindOther {
+		for prefix, check := range t.checks {
+			if strings.HasPrefix(o.Path(), prefix) {
+				return parsed{}, check(o.Value())
+			}
+		}
+		return parsed{}, nil
+	}
+	envelope, err := ParseEnvelope(o.Value())
+	if err != nil {
+		return parsed{}, errors.Wrap(err, o.Path())
+	}
+	read := parsed{envelope: envelope}
+	if kind == KindFleet {
+		read.fleet, err = ParseFleet(envelope.body)
+	} else {
+		read.body, err = parseBody(envelope.body, kind == KindService)
+	}
+	return read, errors.Wrap(err, o.Path())
+}
+
+// touch notes which team's policies have to be resolved again.
+func (t *Tables) touch(path string, touched map[place.Team]bool) {
+	if path == PathFleet {
+		t.fleet = &Fleet{}
+		if fleet := t.items[path].parsed.fleet; fleet != nil {
+			t.fleet = fleet
+		}
+	}
+	if rest, found := strings.CutPrefix(path, PrefixTeams); found {
+		team, _, _ := strings.Cut(rest, "/")
+		touched[place.Team(team)] = true
+	}
+}
+
+func (t *Tables) resolveTeams(touched map[place.Team]bool) map[place.Service]*Policy {
+	policies := maps.Clone(t.policies)
+	for path, i := range t.items {
+		service, found := strings.CutPrefix(path, PrefixTeams)
+		name := place.Service(service)
+		if !found || name.Name() == "" || !touched[name.Team()] {
+			continue
+		}
+		delete(policies, name)
+		if i.parsed.body != nil {
+			policies[name] = t.resolve(name, t.region)
+		}
+	}
+	return policies
+}
+
+// resolve works out the policy of a service that has an object in force.
+func (t *Tables) resolve(service place.Service, region place.Region) *Policy {
+	teamPath := TeamPath(service.Team())
+	servicePath := ServicePath(service)
+	team := t.items[teamPath]
+	teamBody := team.parsed.body
+	if teamBody == nil {
+		teamBody = &body{}
+	}
+	own := t.items[servicePath]
+	return resolvePolicy(teamBody, own.parsed.body,
+		Origin{path: teamPath, version: team.good.Version()}, Origin{path: servicePath, version: own.good.Version()}, region)
+}
+
+// Policy returns the policy of a service as the region of the process sees it;
+// false if the service has no settings.
+func (t *Tables) Policy(service place.Service) (*Policy, bool) {
+	policy, found := t.policies[service]
+	return policy, found
+}
+
+// PolicyIn returns the policy of a service as the given region sees it. It is
+// worked out anew at each call, so it is not for the path of a request.
+func (t *Tables) PolicyIn(service place.Service, region place.Region) (*Policy, bool) {
+	if _, found := t.policies[service]; !found {
+		return nil, false
+	}
+	return t.resolve(service, region), true
+}
+
+// Excess reports the diversions and allotments of a service that stand above a
+// cap which it inherits, nil if there are none. They are in force scaled down.
+func (t *Tables) Excess(service place.Service) error {
+	own := t.items[ServicePath(service)].parsed.body
+	if own == nil {
+		return nil
+	}
+	return errors.Wrap(excess(t.resolve(service, ""), own), ServicePath(service))
+}
+
+// Services returns the services that have settings, in order.
+func (t *Tables) Services() []place.Service { return slices.Sorted(maps.Keys(t.policies)) }
+
+// Fleet returns the settings that belong to no team.
+func (t *Tables) Fleet() *Fleet { return t.fleet }
+
+// Object returns the object in force at a path; false if there is none or it
+// was deleted.
+func (t *Tables) Object(path string) (store.Object, bool) {
+	i, found := t.items[path]
+	return i.good, found && i.good.Version() > 0 && !i.good.Deleted()
+}
+
+// Envelope returns the envelope of the object in force, nil if there is none.
+func (t *Tables) Envelope(path string) *Envelope { return t.items[path].parsed.envelope }
+
+// Since returns when the object in force was taken by this process.
+func (t *Tables) Since(path string) time.Time { return t.items[path].parsed.since }
+
+// Problem returns why the newest version of the object was refused, nil if the
+// newest known version is in force.
+func (t *Tables) Problem(path string) error { return t.items[path].problem }
+
+// Paths returns the paths of all known objects that begin with the prefix, in
+// order, those of tombstones and of refused objects too.
+func (t *Tables) Paths(prefix string) []string {
+	var paths []string
+	for path := range t.items {
+		if strings.HasPrefix(path, prefix) {
+			paths = append(paths, path)
+		}
+	}
+	slices.Sort(paths)
+	return paths
+}
+
+// Version returns which versions of an object the tables hold.
+func (t *Tables) Version(path string) Version { return t.items[path].version(path) }
+
+// Held returns every version of the object that the tables hold: the one in
+// force, and the refused one if it is newer.
+func (t *Tables) Held(path string) []store.Object {
+	var held []store.Object
+	i := t.items[path]
+	for _, o := range []store.Object{i.good, i.refused} {
+		if o.Version() > 0 {
+			held = append(held, o)
+		}
+	}
+	return held
+}
+
+// Digest sums up which versions the tables hold.
+func (t *Tables) Digest() Digest {
+	var hash uint64
+	for _, bucket := range t.buckets {
+		hash += bucket
+	}
+	return Digest{highest: t.highest, hash: hash}
+}
+
+// Buckets returns the hashes of the buckets.
+func (t *Tables) Buckets() [BucketCount]uint64 { return t.buckets }
+
+// Versions returns the versions of the objects in the buckets whose hashes
+// differ from the given ones, in the order of their paths.
+func (t *Tables) Versions(other [BucketCount]uint64) []Version {
+	var versions []Version
+	for path, i := range t.items {
+		if bucket := bucketOf(path); t.buckets[bucket] != other[bucket] {
+			versions = append(versions, i.version(path))
+		}
+	}
+	slices.SortFunc(versions, func(a, b Version) int { return strings.Compare(a.path, b.path) })
+	return versions
+}
