Keep the settings in checked tables, and start the demo's script

Cause: the entry read policies without envelope, checks or versions of its own. Ruled out: two forms of the settings side by side. Before: raw policies in the view.

--- /dev/null
+++ b/cmd/standin/callers.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+
+	"github.com/endivechute/endivechute/load"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+)
+
+const rosterTimeout = 10 * time.Second
+
+// callerFlags are the flags of `standin callers`.
+type callerFlags struct {
+	entries  string
+	platform string
+	mix      string
+	rate     float64
+	duration time.Duration
+	seed     uint64
+	attempts int
+	baseline bool
+	table    bool
+}
+
+func newCallersCommand(logger *logrus.Logger) *ffcli.Command {
+	var given callerFlags
+	flags := flag.NewFlagSet("standin callers", flag.ContinueOnError)
+	flags.StringVar(&given.entries, "entries", "", "callers' ports of entry instances, separated by commas")
+	flags.StringVar(&given.platform, "platform", "", "IP:port of the platform, whose list names the targets")
+	flags.StringVar(&given.mix, "mix", "kigali", "bonoseguro, kigali or a file with a mix in JSON")
+	flags.Float64Var(&given.rate, "rate", 50, "requests that start in a second")
+	flags.DurationVar(&given.duration, "duration", 5*time.Second, "how long requests start")
+	flags.Uint64Var(&given.seed, "seed", 1, "determines the order of the requests")
+	flags.IntVar(&given.attempts, "attempts", 0, "tries of one request at most")
+	flags.BoolVar(&given.baseline, "baseline", false, "send straight to the targets in turn, without entries")
+	flags.BoolVar(&given.table, "table", false, "print a table in place of JSON")
+	return &ffcli.Command{Name: "callers", ShortUsage: "standin callers [flags]", ShortHelp: "stand in for callers: send a mix of requests and compare with the targets' logs", FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error { return runCallers(ctx, given, logger) }}
+}
+
+func runCallers(ctx context.Context, given callerFlags, logger *logrus.Logger) error {
+	mix, err := readMix(given.mix)
+	if err != nil {
+		return err
+	}
+	targets, err := readTargets(ctx, given.platform)
+	if err != nil {
+		return err
+	}
+	summary, err := load.Run(ctx, load.Options{
+		Entries: strings.Split(given.entries, ","), Targets: targets, Mix: mix, Rate: given.rate, Duration: given.duration,
+		Seed: given.seed, Attempts: given.attempts, Baseline: given.baseline, Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	if given.table {
+		err = summary.Table(os.Stdout)
+	} else {
+		err = errors.Wrap(json.NewEncoder(os.Stdout).Encode(summary), "print the summary")
+	}
+	if err == nil && summary.Broken() {
+		err = errors.New("a promise was broken: see verification")
+	}
+	return err
+}
+
+// readMix takes the name of a preset or of a file.
+func readMix(name string) (load.Mix, error) {
+	if text, err := os.ReadFile(name); err == nil {
+		return load.ParseMix(text)
+	}
+	return load.ParseMix([]byte(name))
+}
+
+func readTargets(ctx context.Context, platform string) (map[place.Service][]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	client := store.NewClient(platform, "")
+	defer client.Close()
+	roster, err := client.Roster(ctx)
+	if err != nil {
+		return nil, err
+	}
+	targets := map[place.Service][]string{}
+	for _, t := range roster.Targets {
+		targets[t.Service] = append(targets[t.Service], t.Address)
+	}
+	return targets, nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,7 +21,7 @@
 	root := &ffcli.Command{
 		ShortUsage:  "standin <command> [flags]",
 		FlagSet:     flag.NewFlagSet("standin", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{newPlatformCommand(logger), newTargetsCommand(logger)},
+		Subcommands: []*ffcli.Command{newPlatformCommand(logger), newTargetsCommand(logger), newCallersCommand(logger)},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -47,7 +47,7 @@
 	v := e.view.Load()
 	dump := Dump{
 		Instance: e.self.Instance, Zone: e.self.Zone, Incarnation: e.self.Incarnation, Version: wire.Version,
-		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Versions: v.versions,
+		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Versions: e.versions(),
 	}
 	for _, entry := range v.entries {
 		if entry.Instance == e.self.Instance {
@@ -67,3 +67,12 @@
 	}
 	return dump
 }
+
+func (e *Entry) versions() map[string]uint64 {
+	tables := e.tables.Load()
+	versions := map[string]uint64{}
+	for _, path := range tables.Paths("") {
+		versions[path] = tables.Version(path).InForce()
+	}
+	return versions
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/store"
 	"github.com/endivechute/endivechute/wire"
@@ -27,6 +28,8 @@
 	stats    *Stats
 	once     *keptAnswers
 	view     atomic.Pointer[view]
+	tables   atomic.Pointer[config.Tables]
+	settled  atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 }
@@ -34,7 +37,8 @@
 // New makes an Entry that knows no settings and no instances yet.
 func New(self wire.Hello, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, log *logrus.Logger) *Entry {
 	e := &Entry{self: self, store: platform, pool: pool, heart: heart, now: now, log: log, stats: NewStats(), once: newKeptAnswers()}
-	e.view.Store(newView())
+	e.view.Store(&view{})
+	e.tables.Store(config.NewTables(self.Zone.Region(), nil))
 	return e
 }
 
@@ -44,8 +48,11 @@
 // Ready tells whether the process knows the settings and the instances, so
 // that callers may be sent to it.
 func (e *Entry) Ready() bool {
-	v := e.view.Load()
-	return v.settingsKnown && v.rosterKnown && !e.leaving.Load()
+	return e.informed() && !e.leaving.Load()
+}
+
+func (e *Entry) informed() bool {
+	return e.settled.Load() && e.view.Load().rosterKnown
 }
 
 // Handle answers the messages of other entries. It implements wire.Handler.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -23,9 +23,6 @@
 	retryWait = 500 * time.Millisecond
 )
 
-// settingsPrefix begins the paths of the teams' objects.
-const settingsPrefix = "teams/"
-
 // Run follows the settings, the list of instances and the peers until ctx
 // ends.
 func (e *Entry) Run(ctx context.Context) {
@@ -36,16 +33,6 @@
 	tasks.Wait()
 }
 
-// publish swaps in the view that change makes of the present one.
-func (e *Entry) publish(change func(*view) *view) {
-	for {
-		before := e.view.Load()
-		if e.view.CompareAndSwap(before, change(before)) {
-			return
-		}
-	}
-}
-
 func (e *Entry) followRoster(ctx context.Context) {
 	for {
 		e.readRoster(ctx)
@@ -73,7 +60,7 @@
 	}
 	e.pool.SetAddresses(addresses)
 	e.heart.SetPeers(instances)
-	e.publish(func(v *view) *view { return v.withRoster(roster, e.self.Zone) })
+	e.view.Store(e.view.Load().withRoster(roster, e.self.Zone, e.tables.Load()))
 }
 
 func (e *Entry) followSettings(ctx context.Context) {
@@ -94,40 +81,24 @@
 	if revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		return e.store.List(ctx, settingsPrefix)
+		return e.store.List(ctx, "")
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	return e.store.Watch(ctx, settingsPrefix, revision, watchWait)
+	return e.store.Watch(ctx, "", revision, watchWait)
 }
 
 // take brings objects into force. One that fails its checks is reported, and
 // the last good one stays.
 func (e *Entry) take(objects []store.Object) {
-	for _, object := range objects {
-		service, err := place.ParseService(object.Path()[len(settingsPrefix):])
-		if err != nil {
-			continue
-		}
-		var policy *config.Policy
-		if !object.Deleted() {
-			if policy, err = config.ParsePolicy(object.Value()); err != nil {
-				e.log.WithError(err).WithField("path", object.Path()).Error("An object is refused.")
-				continue
-			}
+	tables, outcomes := e.tables.Load().Apply(objects, e.now())
+	e.tables.Store(tables)
+	e.settled.Store(true)
+	for _, outcome := range outcomes {
+		if outcome.Kind() == config.OutcomeRefused {
+			e.log.WithError(outcome.Problem()).WithField("path", outcome.Path()).Error("An object is refused.")
 		}
-		e.publish(func(v *view) *view {
-			if object.Version() <= v.versions[object.Path()] {
-				return v
-			}
-			return v.withPolicy(object, service, policy)
-		})
 	}
-	e.publish(func(v *view) *view {
-		next := *v
-		next.settingsKnown = true
-		return &next
-	})
 }
 
 // pause waits and tells whether ctx still goes on.
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -34,10 +34,10 @@
 // Lookup tells a caller which entries to use for a service.
 func (e *Entry) Lookup(service place.Service) (Found, error) {
 	v := e.view.Load()
-	if !v.settingsKnown || !v.rosterKnown {
+	if !e.informed() {
 		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
 	}
-	if v.policies[service] == nil {
+	if _, found := e.tables.Load().Policy(service); !found {
 		return Found{}, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", service)
 	}
 	e.stats.lookups.Inc()
--- a/entry/route.go
+++ b/entry/route.go
@@ -34,7 +34,7 @@
 
 func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
-	policy, err := e.admit(v, r)
+	policy, err := e.admit(r)
 	if err != nil {
 		return nil, err
 	}
@@ -48,12 +48,12 @@
 
 // admit checks a request and gives it the deadline of its service's policy if
 // it has none or a later one.
-func (e *Entry) admit(v *view, r *Request) (*config.Policy, error) {
-	if !v.settingsKnown || !v.rosterKnown {
+func (e *Entry) admit(r *Request) (*config.Policy, error) {
+	if !e.informed() {
 		return nil, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
 	}
-	policy := v.policies[r.service]
-	if policy == nil {
+	policy, found := e.tables.Load().Policy(r.service)
+	if !found {
 		return nil, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", r.service)
 	}
 	latest := e.now().Add(policy.Deadline())
@@ -198,7 +198,7 @@
 
 func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
-	policy, err := e.admit(v, r)
+	policy, err := e.admit(r)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/endivechute/endivechute/config"
@@ -10,42 +9,20 @@
 	"github.com/endivechute/endivechute/target"
 )
 
-// view is all that a request needs to know of the fleet. A view is never
-// changed after it was published: whoever learns something builds the next one
-// and swaps the pointer, so that the path of a request takes no lock.
+// view is what a request needs to know of the instances of the fleet. A view
+// is never changed after it was published: whoever learns something builds the
+// next one and swaps the pointer, so that the path of a request takes no lock.
 type view struct {
-	settingsKnown bool
-	rosterKnown   bool
-	policies      map[place.Service]*config.Policy
-	versions      map[string]uint64
-	entries       map[place.Instance]store.Entry
-	zoneEntries   map[place.Zone][]store.Entry
-	targets       map[place.Service]map[place.Zone][]store.Target
-	clients       map[place.Target]*target.Client
-}
-
-func newView() *view {
-	return &view{policies: map[place.Service]*config.Policy{}, versions: map[string]uint64{}}
-}
-
-// withPolicy returns a copy in which the object's policy is in force. An
-// object no newer than the one in force changes nothing.
-func (v *view) withPolicy(object store.Object, service place.Service, policy *config.Policy) *view {
-	next := *v
-	next.policies = maps.Clone(v.policies)
-	next.versions = maps.Clone(v.versions)
-	next.versions[object.Path()] = object.Version()
-	if policy == nil {
-		delete(next.policies, service)
-	} else {
-		next.policies[service] = policy
-	}
-	return &next
+	rosterKnown bool
+	entries     map[place.Instance]store.Entry
+	zoneEntries map[place.Zone][]store.Entry
+	targets     map[place.Service]map[place.Zone][]store.Target
+	clients     map[place.Target]*target.Client
 }
 
 // withRoster returns a copy that knows the instances of the list. zone is the
 // availability zone whose targets this process talks to itself.
-func (v *view) withRoster(roster store.Roster, zone place.Zone) *view {
+func (v *view) withRoster(roster store.Roster, zone place.Zone, tables *config.Tables) *view {
 	next := *v
 	next.rosterKnown = true
 	next.entries = map[place.Instance]store.Entry{}
@@ -64,20 +41,20 @@
 		}
 		zones[t.Zone] = append(zones[t.Zone], t)
 		if t.Zone == zone {
-			next.clients[t.Target] = v.client(t)
+			next.clients[t.Target] = v.client(t, tables)
 		}
 	}
 	return &next
 }
 
 // client returns the client of the target that is in use, or a new one.
-func (v *view) client(t store.Target) *target.Client {
+func (v *view) client(t store.Target, tables *config.Tables) *target.Client {
 	if known := v.clients[t.Target]; known != nil && known.Address() == t.Address {
 		return known
 	}
 	connections := config.DefaultConnections
-	if policy := v.policies[t.Service]; policy != nil {
-		connections = policy.Connections()
+	if policy, found := tables.Policy(t.Service); found {
+		connections = policy.ConnectionsOf(t.Target)
 	}
 	return target.New(t.Target, t.Address, connections)
 }
@@ -86,6 +63,6 @@
 // get new work.
 func (v *view) usable(service place.Service, policy *config.Policy, zone place.Zone) []store.Target {
 	return slices.DeleteFunc(slices.Clone(v.targets[service][zone]), func(t store.Target) bool {
-		return t.State == store.StateLeaving || policy.Leaving(t.Target)
+		return t.State == store.StateLeaving || policy.LeavingAt(t.Target, t.Zone)
 	})
 }
