Add the budgets of retries and hedges, a latency quantile and the hedged call

Cause: extra work has to stay a small share of the requests, and a hedge needs the service's p95. Ruled out: a count of retries for each request, which multiplies the load just when it is too high; a lock around an HDR histogram on the path of a request. Conclusion: Tokens, Latency, Wait and Hedge are ready for the entry.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,266 @@
+package budget_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/budget"
+	"github.com/endivechute/endivechute/errs"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20261203"); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func ExampleTokens() {
+	retries := budget.NewTokens(10, 1)
+	fmt.Println(retries.Take(), retries.Take())
+	for range 10 {
+		retries.Earn()
+	}
+	fmt.Println(retries.Take(), retries.Take())
+	// Output:
+	// true false
+	// true false
+}
+
+// TestTokensBound: over every stretch of any history at most the burst and the
+// percentage of the stretch's requests are taken.
+func TestTokensBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		burst := rapid.IntRange(0, 5).Draw(t, "burst")
+		percent := rapid.SampledFrom([]float64{0, 0.5, 5, 33, 100}).Draw(t, "percent")
+		tokens := budget.NewTokens(percent, burst)
+		history := rapid.SliceOfN(rapid.Bool(), 1, 200).Draw(t, "history")
+		// excess is the largest number taken beyond what was earned over a
+		// stretch that ends now.
+		excess := 0.0
+		for i, request := range history {
+			if request {
+				tokens.Earn()
+				excess = max(excess-percent/100, 0)
+			} else if tokens.Take() {
+				excess++
+			}
+			if excess > float64(burst)+1e-6 {
+				t.Fatalf("step %d: %v more were taken than earned, the burst is %d", i, excess, burst)
+			}
+		}
+	})
+}
+
+func TestTokensTogether(t *testing.T) {
+	tokens := budget.NewTokens(10, 5)
+	var taken atomic.Int64
+	var group conc.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 5000 {
+				tokens.Earn()
+				if tokens.Take() {
+					taken.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if got := taken.Load(); got > 4005 || got < 4000-5 {
+		t.Errorf("%d were taken, want 10 %% of 40000 and a burst of 5 at most", got)
+	}
+	if nothing := budget.NewTokens(0, 5); nothing.Take() {
+		t.Error("a budget of 0 percent allowed an extra request")
+	}
+}
+
+// TestLatency compares the tracker with a sorted list of the observations of
+// the windows that count.
+func TestLatency(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		tracker := budget.NewLatency(0.95, now)
+		var older, recent []time.Duration
+		began := now
+		for range rapid.IntRange(1, 12).Draw(t, "bursts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 25).Draw(t, "seconds")) * time.Second)
+			scale := rapid.SampledFrom([]int{10, 1000, 100_000, 5_000_000}).Draw(t, "scale")
+			for _, micros := range rapid.SliceOfN(rapid.IntRange(0, scale), 1, 64).Draw(t, "micros") {
+				if passed := now.Sub(began); passed >= budget.LatencyWindow {
+					older, recent, began = recent, nil, now
+					if passed >= 2*budget.LatencyWindow {
+						older = nil
+					}
+				}
+				recent = append(recent, time.Duration(micros)*time.Microsecond)
+				tracker.Record(now, recent[len(recent)-1])
+			}
+			for range 32 - len(recent)%32 {
+				recent = append(recent, recent[len(recent)-1])
+				tracker.Record(now, recent[len(recent)-1])
+			}
+			checkQuantile(t, tracker, slices.Concat(older, recent))
+		}
+	})
+}
+
+func checkQuantile(t *rapid.T, tracker *budget.Latency, all []time.Duration) {
+	got, known := tracker.Value()
+	if !known {
+		t.Fatalf("unknown after %d observations", len(all))
+	}
+	slices.Sort(all)
+	want := all[min(int(0.95*float64(len(all))), len(all)-1)]
+	if got < want || got > want+want/16+time.Microsecond {
+		t.Fatalf("p95 %v, want %v to 1/16 above", got, want)
+	}
+}
+
+func TestLatencyUnknown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := budget.NewLatency(0.95, now)
+	for range budget.LatencySamplesMin - 1 {
+		tracker.Record(now, time.Millisecond)
+	}
+	if value, known := tracker.Value(); known {
+		t.Errorf("p95 %v of too few observations", value)
+	}
+	if n := testing.AllocsPerRun(100, func() { tracker.Record(now, time.Millisecond) }); n != 0 {
+		t.Errorf("recording allocates %v times, want 0", n)
+	}
+}
+
+func TestWait(t *testing.T) {
+	tests := map[string]struct {
+		running, queued, slots int
+		want                   time.Duration
+	}{
+		"free slot":   {3, 0, 4, 0},
+		"all taken":   {4, 0, 4, 5 * time.Millisecond},
+		"four queued": {4, 4, 4, 25 * time.Millisecond},
+		"no slots":    {0, 0, 0, 1<<63 - 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := budget.Wait(test.running, test.queued, test.slots, 20*time.Millisecond); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestHedge walks through who answers when. A call given "never" ends only
+// when it is canceled.
+func TestHedge(t *testing.T) {
+	notRun := errs.NotRun(errs.ReasonTargetBusy, 0, "busy")
+	mayHaveRun := errs.MayHaveRun(errs.ReasonTargetError, "gone")
+	type end struct {
+		err   error
+		never bool
+	}
+	tests := map[string]struct {
+		first, second end
+		late, allowed bool
+		want          string
+		verdict       errs.Verdict
+		begun         int64
+	}{
+		"first in time":      {end{}, end{}, false, true, "first", errs.VerdictRan, 1},
+		"first fails early":  {end{err: notRun}, end{}, false, true, "", errs.VerdictNotRun, 1},
+		"second wins":        {end{never: true}, end{}, true, true, "second", errs.VerdictRan, 2},
+		"second fails":       {end{never: true}, end{err: notRun}, true, true, "", errs.VerdictMayHaveRun, 2},
+		"both not run":       {end{err: notRun}, end{err: notRun}, true, true, "", errs.VerdictNotRun, 2},
+		"one may have run":   {end{err: mayHaveRun}, end{err: notRun}, true, true, "", errs.VerdictMayHaveRun, 2},
+		"other may have run": {end{err: notRun}, end{err: mayHaveRun}, true, true, "", errs.VerdictMayHaveRun, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var group conc.WaitGroup
+			defer group.Wait()
+			var begun atomic.Int64
+			secondBegan := make(chan struct{})
+			call := func(name string, e end) budget.Call[string] {
+				return func(ctx context.Context) (string, error) {
+					begun.Add(1)
+					if name == "second" {
+						close(secondBegan)
+					} else if test.late {
+						<-secondBegan
+					}
+					if e.never && test.second.err != nil {
+						cancel()
+					}
+					if e.never {
+						<-ctx.Done()
+						return "", errs.MayHaveRun(errs.ReasonCanceled, "canceled")
+					}
+					return name, e.err
+				}
+			}
+			late := make(chan time.Time, 1)
+			if test.late {
+				late <- time.Time{}
+			}
+			got, err := budget.Hedge(ctx, &group, late, func() bool { return test.allowed }, call("first", test.first), call("second", test.second))
+			if test.verdict == errs.VerdictRan {
+				if err != nil || got != test.want {
+					t.Errorf("got %q, %v; want %q", got, err, test.want)
+				}
+			} else if err == nil || errs.VerdictOf(err) != test.verdict {
+				t.Errorf("got %v, want %v", err, test.verdict)
+			}
+			group.Wait()
+			if begun.Load() != test.begun {
+				t.Errorf("%d calls were begun, want %d", begun.Load(), test.begun)
+			}
+		})
+	}
+}
+
+// TestHedgeSpent: without budget the first call is waited for alone.
+func TestHedgeSpent(t *testing.T) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	late := make(chan time.Time, 1)
+	late <- time.Time{}
+	asked := make(chan struct{})
+	first := func(context.Context) (string, error) {
+		<-asked
+		return "first", nil
+	}
+	second := func(context.Context) (string, error) {
+		t.Error("the second call was begun")
+		return "", nil
+	}
+	spent := func() bool {
+		close(asked)
+		return false
+	}
+	if got, err := budget.Hedge(t.Context(), &group, late, spent, first, second); got != "first" || err != nil {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+func BenchmarkLatencyRecord(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tracker := budget.NewLatency(0.95, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		tracker.Record(now, 3*time.Millisecond)
+	}
+}
