Add block: client blocks in a prefix table

Cause: callers are led to the site and availability zone of their address; the target size is 670,000 blocks and 720 sites. Before: nothing.

--- /dev/null
+++ b/block/bench_test.go
@@ -0,0 +1,142 @@
+package block_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/block"
+)
+
+var benchSizes = []int{10_000, 100_000, 670_000}
+
+func eachSize(b *testing.B, run func(b *testing.B, n int)) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) { run(b, n) })
+	}
+}
+
+func addressesIn(entries []block.Entry) []netip.Addr {
+	r := rand.New(rand.NewPCG(3, 4))
+	addresses := make([]netip.Addr, 1<<16)
+	for i := range addresses {
+		addresses[i] = entries[r.IntN(len(entries))].Prefix().Addr().Next()
+	}
+	return addresses
+}
+
+// BenchmarkFind measures one look-up of a random client.
+func BenchmarkFind(b *testing.B) {
+	eachSize(b, func(b *testing.B, n int) {
+		set, addresses := filled(b, n), addressesIn(benchEntries(n))
+		b.ReportAllocs()
+		i := 0
+		for b.Loop() {
+			if _, found := set.Find(addresses[i&(len(addresses)-1)]); !found {
+				b.Fatal("a block is missing")
+			}
+			i++
+		}
+	})
+}
+
+// BenchmarkFindWhileSwapping measures look-ups of one goroutine while another
+// one puts changed chunks in force without a pause, on one core for both.
+func BenchmarkFindWhileSwapping(b *testing.B) {
+	eachSize(b, func(b *testing.B, n int) {
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		entries := benchEntries(n)
+		set, addresses := filled(b, n), addressesIn(entries)
+		even, odd := oneChanged(b, entries)
+		swaps := 0
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() {
+			for version := uint64(2); ctx.Err() == nil; version++ {
+				_ = set.Take(block.Update{Name: "c000", Version: version, Value: [][]byte{even, odd}[version%2]})
+				swaps++
+				time.Sleep(time.Second) // the target's pace is one change in 19 s
+			}
+		})
+		i := 0
+		for b.Loop() {
+			set.Find(addresses[i&(len(addresses)-1)])
+			i++
+		}
+		cancel()
+		elapsed := b.Elapsed().Seconds()
+		group.Wait()
+		b.ReportMetric(float64(i)/elapsed, "lookups/s")
+		b.ReportMetric(float64(swaps)/elapsed, "swaps/s")
+	})
+}
+
+// oneChanged returns two values of the first chunk that differ in one block's
+// site.
+func oneChanged(b *testing.B, entries []block.Entry) (even, odd []byte) {
+	first := append([]block.Entry{}, entries[:min(benchChunkBlocks, len(entries))]...)
+	even, err := block.FormatChunk(first)
+	if err != nil {
+		b.Fatal(err)
+	}
+	first[0] = block.NewEntry(first[0].Prefix(), first[len(first)-1].Site())
+	if odd, err = block.FormatChunk(first); err != nil {
+		b.Fatal(err)
+	}
+	return even, odd
+}
+
+// BenchmarkBuild measures parsing all chunks and building the table, and the
+// memory that is held afterwards.
+func BenchmarkBuild(b *testing.B) {
+	eachSize(b, func(b *testing.B, n int) {
+		updates := benchUpdates(b, benchEntries(n))
+		bytes := 0
+		for _, u := range updates {
+			bytes += len(u.Value)
+		}
+		var set *block.Set
+		before := heapBytes()
+		for b.Loop() {
+			set = block.New()
+			if err := set.Take(updates...); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/float64(n), "table_B/block")
+		b.ReportMetric(float64(bytes)/float64(n), "chunk_B/block")
+		b.ReportMetric(float64(len(updates)), "chunks")
+		runtime.KeepAlive(set)
+	})
+}
+
+// BenchmarkTakeOneChange measures taking one chunk in which the site of one
+// block has changed, parsing included.
+func BenchmarkTakeOneChange(b *testing.B) {
+	eachSize(b, func(b *testing.B, n int) {
+		entries := benchEntries(n)
+		set := filled(b, n)
+		even, odd := oneChanged(b, entries)
+		version := uint64(2)
+		for b.Loop() {
+			if err := set.Take(block.Update{Name: "c000", Version: version, Value: [][]byte{even, odd}[version%2]}); err != nil {
+				b.Fatal(err)
+			}
+			version++
+		}
+	})
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/block/chunk.go
@@ -0,0 +1,177 @@
+// Package block maps the address of a client to the site that serves it. The
+// blocks of client addresses arrive as versioned chunks, objects of the
+// platform's store under "blocks/", and are held in one prefix table. A new
+// table is made beside the running one and swapped in by one atomic pointer,
+// so that a look-up takes no lock and allocates nothing.
+package block
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+const (
+	// ChunkBytesMax is the longest value of a chunk that is accepted, in bytes.
+	ChunkBytesMax = 1 << 20
+	// ChunkForm is the number of the form of chunks that this code reads.
+	ChunkForm = 1
+)
+
+// SiteName is the name of a site, unique in the fleet.
+type SiteName string
+
+// Site is a place that serves clients, and the availability zone it lies in.
+type Site struct {
+	name SiteName
+	zone place.Zone
+}
+
+// NewSite makes a Site from checked names.
+func NewSite(name SiteName, zone place.Zone) Site { return Site{name: name, zone: zone} }
+
+// Name returns the name of the site.
+func (s Site) Name() SiteName { return s.name }
+
+// Zone returns the availability zone that the site lies in.
+func (s Site) Zone() place.Zone { return s.zone }
+
+// Entry is one block of client addresses and the site that serves it.
+type Entry struct {
+	prefix netip.Prefix
+	site   Site
+}
+
+// NewEntry makes an Entry. The prefix must be masked.
+func NewEntry(prefix netip.Prefix, site Site) Entry { return Entry{prefix: prefix, site: site} }
+
+// Prefix returns the block of addresses.
+func (e Entry) Prefix() netip.Prefix { return e.prefix }
+
+// Site returns the site that serves the block.
+func (e Entry) Site() Site { return e.site }
+
+type chunkBody struct {
+	Form  int        `json:"form"`
+	Sites []siteBody `json:"sites"`
+}
+
+type siteBody struct {
+	Site   SiteName `json:"site"`
+	Zone   string   `json:"zone"`
+	Blocks []string `json:"blocks"`
+}
+
+// ParseChunk reads and checks the JSON value of a chunk. It refuses a value
+// that is too long, unknown fields, a form it does not know, bad names, a
+// prefix that is not masked or names an IPv4 block in IPv6 form, and a site or
+// a prefix that stands twice. The error says which and where.
+func ParseChunk(value []byte) ([]Entry, error) {
+	if len(value) > ChunkBytesMax {
+		return nil, errors.Newf("chunk: %d bytes are given, at most %d are allowed", len(value), ChunkBytesMax)
+	}
+	var body chunkBody
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return nil, errors.Wrap(err, "chunk: not the JSON of a chunk")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("chunk: something follows the JSON object; want one object")
+	}
+	if body.Form != ChunkForm {
+		return nil, errors.Newf("chunk: form %d is given, want %d", body.Form, ChunkForm)
+	}
+	return parseSites(body.Sites)
+}
+
+func parseSites(bodies []siteBody) ([]Entry, error) {
+	total := 0
+	for i := range bodies {
+		total += len(bodies[i].Blocks)
+	}
+	entries := make([]Entry, 0, total)
+	names := make(map[SiteName]struct{}, len(bodies))
+	seen := make(map[netip.Prefix]struct{}, total)
+	for i := range bodies {
+		site, err := parseSite(&bodies[i])
+		if err != nil {
+			return nil, err
+		}
+		if _, twice := names[site.name]; twice {
+			return nil, errors.Newf("chunk: site %q stands twice; join its blocks", site.name)
+		}
+		names[site.name] = struct{}{}
+		for _, text := range bodies[i].Blocks {
+			prefix, err := parsePrefix(text)
+			if err != nil {
+				return nil, errors.Wrapf(err, "chunk: site %q", site.name)
+			}
+			if _, twice := seen[prefix]; twice {
+				return nil, errors.Newf("chunk: site %q: block %s stands twice", site.name, prefix)
+			}
+			seen[prefix] = struct{}{}
+			entries = append(entries, Entry{prefix: prefix, site: site})
+		}
+	}
+	return entries, nil
+}
+
+func parseSite(body *siteBody) (Site, error) {
+	if err := place.CheckName("site", string(body.Site)); err != nil {
+		return Site{}, errors.Wrap(err, "chunk")
+	}
+	zone, err := place.ParseZone(body.Zone)
+	if err != nil {
+		return Site{}, errors.Wrapf(err, "chunk: site %q", body.Site)
+	}
+	return Site{name: body.Site, zone: zone}, nil
+}
+
+func parsePrefix(text string) (netip.Prefix, error) {
+	prefix, err := netip.ParsePrefix(text)
+	if err != nil {
+		return netip.Prefix{}, errors.Wrap(err, "want a block such as 41.186.0.0/24")
+	}
+	if prefix.Addr().Is4In6() {
+		return netip.Prefix{}, errors.Newf("block %s: write an IPv4 block in its own form", text)
+	}
+	if prefix != prefix.Masked() {
+		return netip.Prefix{}, errors.Newf("block %s: bits are set past the prefix; want %s", text, prefix.Masked())
+	}
+	return prefix, nil
+}
+
+// FormatChunk writes the JSON value that ParseChunk reads. Entries of one site
+// need not stand together. It fails when the value would be too long or names
+// one site in two availability zones.
+func FormatChunk(entries []Entry) ([]byte, error) {
+	body := chunkBody{Form: ChunkForm, Sites: []siteBody{}}
+	at := make(map[SiteName]int)
+	for _, e := range entries {
+		i, known := at[e.site.name]
+		if !known {
+			i = len(body.Sites)
+			at[e.site.name] = i
+			body.Sites = append(body.Sites, siteBody{Site: e.site.name, Zone: string(e.site.zone)})
+		}
+		if body.Sites[i].Zone != string(e.site.zone) {
+			return nil, errors.Newf("chunk: site %q lies in %s and in %s; want one availability zone",
+				e.site.name, body.Sites[i].Zone, e.site.zone)
+		}
+		body.Sites[i].Blocks = append(body.Sites[i].Blocks, e.prefix.String())
+	}
+	value, err := json.Marshal(&body)
+	if err != nil {
+		return nil, errors.Wrap(err, "chunk")
+	}
+	if len(value) > ChunkBytesMax {
+		return nil, errors.Newf("chunk: %d bytes, at most %d are allowed; split it", len(value), ChunkBytesMax)
+	}
+	return value, nil
+}
