Put the process together in package node and test the ports

Cause: the assembly stood in the command, where no test reaches it, and no test held bad input against the callers' and operators' ports. Ruled out: testing only by separate processes (a table of 13 requests and 6 kinds of bad input needs one fleet, not one a case). Before: tried by hand. After: TestPath, TestBadInput, TestOperatorPort pass on a fleet of two entries in one process. Conclusion: none of the six kinds of bad input gets a 200 or hurts the next request; the operators' pages are on their own port only.

--- a/cmd/endivechute/lookup.go
+++ b/cmd/endivechute/lookup.go
@@ -23,13 +23,22 @@
 const answerBytesMax = 16 << 20
 
 func newDumpCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("endivechute dump", flag.ContinueOnError)
+	return newOperatorCommand("dump", "/dump", "print the state of an entry process as JSON")
+}
+
+func newReadyCommand() *ffcli.Command {
+	return newOperatorCommand("ready", "/health/ready", "succeed if an entry process is ready for callers")
+}
+
+// newOperatorCommand makes a command that shows one page of an operators' port.
+func newOperatorCommand(name, page, help string) *ffcli.Command {
+	flags := flag.NewFlagSet("endivechute "+name, flag.ContinueOnError)
 	address := flags.String("operator-address", "", "IP:port of the instance's operators' port")
-	return command("dump", "--operator-address IP:port", "print the state of an entry process as JSON", flags, func(ctx context.Context, args []string) error {
+	return command(name, "--operator-address IP:port", help, flags, func(ctx context.Context, args []string) error {
 		if err := errors.CombineErrors(noArgs(args), setup.CheckAddress("operator-address", *address)); err != nil {
 			return err
 		}
-		return show(ctx, http.MethodGet, "http://"+*address+"/dump", nil, "")
+		return show(ctx, http.MethodGet, "http://"+*address+page, nil, "")
 	})
 }
 
--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -55,6 +55,7 @@
 			newLookupCommand(),
 			newSendCommand(),
 			newDumpCommand(),
+			newReadyCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,143 @@
+// Package node puts an entry process together from its parts, opens its three
+// ports and runs it until it is told to stop.
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/admin"
+	"github.com/endivechute/endivechute/entry"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/peers"
+	"github.com/endivechute/endivechute/setup"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// closeTimeout bounds how long the ports may take to close after the last
+// request was answered.
+const closeTimeout = 2 * time.Second
+
+// Node is an entry process with its ports.
+type Node struct {
+	settings  *setup.Entry
+	log       *logrus.Logger
+	self      wire.Hello
+	platform  *store.Client
+	pool      *peers.Pool
+	process   *entry.Entry
+	listeners listeners
+}
+
+// listeners holds the open ports.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+// New opens the ports and puts the process together. The error names the
+// setting whose address can't be used.
+func New(settings *setup.Entry, logger *logrus.Logger) (*Node, error) {
+	opened, err := listen(settings)
+	if err != nil {
+		return nil, err
+	}
+	self := wire.Hello{Instance: settings.Instance(), Zone: settings.Zone(), Incarnation: uint64(time.Now().UnixNano())}
+	pool := peers.New(self, peers.DialTCP)
+	heart := peers.NewHeart(self, pool, time.Now)
+	platform := store.NewClient(settings.PlatformAddress(), "")
+	process := entry.New(self, platform, pool, heart, time.Now, logs.Part(logger, "entry"))
+	return &Node{
+		settings: settings, log: logs.Part(logger, "node"), self: self, platform: platform, pool: pool,
+		process: process, listeners: opened,
+	}, nil
+}
+
+func listen(settings *setup.Entry) (listeners, error) {
+	var opened listeners
+	for _, port := range []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"caller-address", settings.CallerAddress(), &opened.callers},
+		{"peer-address", settings.PeerAddress(), &opened.peers},
+		{"operator-address", settings.OperatorAddress(), &opened.operators},
+	} {
+		listener, err := net.Listen("tcp", port.address)
+		if err != nil {
+			opened.close()
+			return listeners{}, errors.Wrapf(err, "%s", port.name)
+		}
+		*port.listener = listener
+	}
+	return opened, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.operators} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Run serves until ctx ends and then shuts down gracefully, for at most the
+// drain timeout of the settings.
+func (n *Node) Run(ctx context.Context) error {
+	callers := n.process.NewApp()
+	operators := admin.New(n.process.Stats().Registry(), func() any { return n.process.Dump() }, n.process.Ready)
+	server := wire.NewServer(n.listeners.peers, n.self, n.process, n.log)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	var tasks conc.WaitGroup
+	tasks.Go(server.Serve)
+	tasks.Go(func() { n.process.Run(running) })
+	tasks.Go(func() { n.serve(callers, n.listeners.callers) })
+	tasks.Go(func() { n.serve(operators, n.listeners.operators) })
+	n.log.WithField("instance", n.self.Instance).WithField("zone", n.self.Zone).Info("The process serves.")
+
+	<-ctx.Done()
+	n.leave()
+	err := shutDown(callers, operators)
+	stop()
+	server.Close()
+	n.pool.Close()
+	n.platform.Close()
+	tasks.Wait()
+	return err
+}
+
+func (n *Node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout())
+	defer cancel()
+	n.process.Leave(ctx)
+}
+
+func (n *Node) serve(app *fiber.App, listener net.Listener) {
+	if err := app.Listener(listener); err != nil {
+		n.log.WithError(err).Error("A port stopped serving.")
+	}
+}
+
+// shutDown closes the ports. Connections that stay open without a request are
+// cut after closeTimeout.
+func shutDown(apps ...*fiber.App) error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, app := range apps {
+		err := app.ShutdownWithContext(ctx)
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return errors.Wrap(err, "close a port")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,275 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/entry"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/node"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/plat"
+	"github.com/endivechute/endivechute/setup"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/stub"
+)
+
+const (
+	desk   = place.Service("library/search-desk")
+	ledger = place.Service("library/loan-ledger")
+)
+
+// fleet is a platform, a target of each service and two entries in one process.
+type fleet struct {
+	callers   [2]string
+	peers     [2]string
+	operators [2]string
+	targets   *stub.Stub
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{}
+	platform := plat.New(logs.Discard())
+	if err := platform.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = platform.Close() })
+	f.targets = startTargets(t)
+	roster := store.Roster{Targets: []store.Target{
+		{Target: "desk-a", Service: desk, Zone: "kigali/a", Address: f.targets.Addr("desk-a"), State: store.StateLive},
+		{Target: "ledger-b", Service: ledger, Zone: "kigali/b", Address: f.targets.Addr("ledger-b"), State: store.StateLive},
+	}}
+	for i := range 2 {
+		f.callers[i], f.peers[i], f.operators[i] = freeAddress(t), freeAddress(t), freeAddress(t)
+		roster.Entries = append(roster.Entries, store.Entry{
+			Instance: place.Instance(fmt.Sprintf("entry-%d", i)), Zone: place.Zone([]string{"kigali/a", "kigali/b"}[i]),
+			CallerAddress: f.callers[i], PeerAddress: f.peers[i], State: store.StateLive,
+		})
+	}
+	platform.SetRoster(roster)
+	client := store.NewClient(platform.Addr(), "")
+	defer client.Close()
+	write(t, client, desk, `{}`)
+	write(t, client, ledger, `{"non_idempotent":[{"method":"POST","path":"/loans"}]}`)
+	ctx, cancel := context.WithCancel(context.Background())
+	for i, listed := range roster.Entries {
+		f.run(ctx, t, i, listed, platform.Addr())
+	}
+	t.Cleanup(cancel)
+	for i := range 2 {
+		await(t, func() bool { return len(f.lookup(t, i, desk).Entries) == 2 })
+	}
+	return f
+}
+
+func startTargets(t *testing.T) *stub.Stub {
+	t.Helper()
+	targets := stub.New(stub.Config{Slots: 4, ServiceTime: time.Millisecond, Targets: []stub.TargetConfig{
+		{Name: "desk-a", Address: "127.0.0.1:0"}, {Name: "ledger-b", Address: "127.0.0.1:0"},
+	}}, logs.Discard())
+	if err := targets.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(targets.Close)
+	return targets
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func write(t *testing.T, client *store.Client, service place.Service, body string) {
+	t.Helper()
+	value, err := config.NewEnvelope(nil, "test", "change-1", time.Now(), []byte(body)).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Put(context.Background(), config.ServicePath(service), value, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) run(ctx context.Context, t *testing.T, i int, listed store.Entry, platform string) {
+	t.Helper()
+	flags := flag.NewFlagSet("entry", flag.ContinueOnError)
+	settings := setup.NewEntry(flags)
+	err := flags.Parse([]string{
+		"--instance", string(listed.Instance), "--zone", string(listed.Zone), "--caller-address", f.callers[i],
+		"--peer-address", f.peers[i], "--operator-address", f.operators[i], "--platform-address", platform, "--drain-timeout", "5s",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	process, err := node.New(settings, logs.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- process.Run(ctx) }()
+	t.Cleanup(func() {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func await(t *testing.T, ready func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ready() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("this never came true")
+}
+
+// found is the answer of a look-up.
+type found struct {
+	Entries   []struct{ Instance place.Instance }
+	KeyPrefix string `json:"key_prefix"`
+}
+
+func (f *fleet) lookup(t *testing.T, i int, service place.Service) found {
+	t.Helper()
+	var answer found
+	response, err := http.Get("http://" + f.callers[i] + "/v1/lookup?service=" + string(service))
+	if err != nil {
+		return answer
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return answer
+}
+
+// send sends a request to entry i and returns the status, the verdict, the
+// reason and the body.
+func (f *fleet) send(t *testing.T, i int, method, path string, headers map[string]string, body string) (int, string, string, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+f.callers[i]+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, response.Header.Get(entry.HeaderVerdict), response.Header.Get(entry.HeaderReason), string(text)
+}
+
+func TestPath(t *testing.T) {
+	f := newFleet(t)
+	key := f.lookup(t, 1, ledger).KeyPrefix
+	tests := map[string]struct {
+		entry                int
+		method, path         string
+		headers              map[string]string
+		body                 string
+		status               int
+		verdict, reason, has string
+	}{
+		"own zone":        {0, "GET", "/s/library/search-desk/books?q=1", map[string]string{"X-Request-Id": "r-1"}, "", 200, "ran", "", "r-1"},
+		"other zone":      {1, "GET", "/s/library/search-desk/books", map[string]string{"X-Request-Id": "r-2"}, "", 200, "ran", "", "r-2"},
+		"no key":          {0, "POST", "/s/library/loan-ledger/loans", nil, "x", 428, "not-run", "key-missing", "/v1/lookup"},
+		"bad key":         {0, "POST", "/s/library/loan-ledger/loans", map[string]string{entry.HeaderKey: "nonsense"}, "x", 400, "not-run", "key-invalid", "look-up"},
+		"key at home":     {1, "POST", "/s/library/loan-ledger/loans", map[string]string{entry.HeaderKey: key + ".1"}, "x", 200, "ran", "", key + ".1"},
+		"key from away":   {0, "POST", "/s/library/loan-ledger/loans", map[string]string{entry.HeaderKey: key + ".2"}, "x", 200, "ran", "", key + ".2"},
+		"no service":      {0, "GET", "/s/library/nothing/", nil, "", 404, "not-run", "no-service", "library/nothing"},
+		"bad service":     {0, "GET", "/s/Library/x/", nil, "", 400, "not-run", "bad-request", "Library"},
+		"no such page":    {0, "GET", "/admin", nil, "", 400, "not-run", "bad-request", "/v1/lookup"},
+		"bad deadline":    {0, "GET", "/s/library/search-desk/", map[string]string{entry.HeaderDeadline: "soon"}, "", 400, "not-run", "bad-request", "soon"},
+		"lookup unknown":  {0, "GET", "/v1/lookup?service=library/none", nil, "", 404, "not-run", "no-service", "none"},
+		"lookup no query": {0, "GET", "/v1/lookup", nil, "", 400, "not-run", "bad-request", "team/service"},
+		"oversized":       {0, "POST", "/s/library/search-desk/", nil, strings.Repeat("x", entry.RequestBytesMax+1), 400, "not-run", "bad-request", "too large"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			status, verdict, reason, body := f.send(t, test.entry, test.method, test.path, test.headers, test.body)
+			if status != test.status || verdict != test.verdict || reason != test.reason {
+				t.Errorf("got %d %q %q %s, want %d %q %q", status, verdict, reason, body, test.status, test.verdict, test.reason)
+			}
+			if !strings.Contains(strings.ToLower(body), strings.ToLower(test.has)) {
+				t.Errorf("the body %q lacks %q", body, test.has)
+			}
+		})
+	}
+}
+
+// Input that is no HTTP must end its connection and leave the others alone.
+func TestBadInput(t *testing.T) {
+	f := newFleet(t)
+	tests := map[string]string{
+		"malformed":      "\x00\x01\x02 nonsense\r\n\r\n",
+		"truncated":      "POST /s/library/search-desk/ HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nshort",
+		"long head":      "GET /s/library/search-desk/ HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("x", 2*entry.HeadBytesMax) + "\r\n\r\n",
+		"lying length":   "POST /s/library/search-desk/ HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n",
+		"two lengths":    "POST /s/library/search-desk/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"negative chunk": "POST /s/library/search-desk/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+	}
+	for name, input := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, address := range []string{f.callers[0], f.operators[0]} {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.WriteString(conn, input)
+				_ = conn.(*net.TCPConn).CloseWrite()
+				_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+				answer, _ := io.ReadAll(conn)
+				if strings.HasPrefix(string(answer), "HTTP/1.1 200") && address == f.callers[0] {
+					t.Errorf("the answer is %q", answer)
+				}
+				_ = conn.Close()
+			}
+			if status, _, _, body := f.send(t, 0, "GET", "/s/library/search-desk/", nil, ""); status != 200 {
+				t.Errorf("the next request got %d %s", status, body)
+			}
+		})
+	}
+}
+
+func TestOperatorPort(t *testing.T) {
+	f := newFleet(t)
+	tests := map[string]string{
+		"/dump": `"settings_versions"`, "/metrics": "endivechute_requests_total", "/health/alive": "alive", "/health/ready": "ready",
+	}
+	f.send(t, 0, "GET", "/s/library/search-desk/", nil, "")
+	for page, want := range tests {
+		t.Run(page, func(t *testing.T) {
+			response, err := http.Get("http://" + f.operators[0] + page)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			text, _ := io.ReadAll(response.Body)
+			if response.StatusCode != 200 || !strings.Contains(string(text), want) {
+				t.Errorf("got %d %.200s, want %q in it", response.StatusCode, text, want)
+			}
+		})
+	}
+}
