--- a/entry/http.go
+++ b/entry/http.go
@@ -30,7 +30,11 @@
 
 // Bounds of the callers' port.
 const (
-	RequestBytesMax   = 1 << 20
+	RequestBytesMax = 1 << 20
+	// bodyBytesRead is how much of a body is read before the connection is
+	// cut. It exceeds RequestBytesMax so that a caller whose body is somewhat
+	// too large reads a clear answer, and not a reset connection.
+	bodyBytesRead     = 4 * RequestBytesMax
 	HeadBytesMax      = 16 << 10
 	callerReadTimeout = 10 * time.Second
 	callerIdleTimeout = 60 * time.Second
@@ -41,7 +45,7 @@
 func (e *Entry) NewApp() *fiber.App {
 	app := fiber.New(fiber.Config{
 		AppName:               "endivechute",
-		BodyLimit:             RequestBytesMax,
+		BodyLimit:             bodyBytesRead,
 		ReadBufferSize:        HeadBytesMax,
 		ReadTimeout:           callerReadTimeout,
 		IdleTimeout:           callerIdleTimeout,
@@ -106,6 +110,9 @@
 	if err != nil {
 		return nil, errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
 	}
+	if len(c.Body()) > RequestBytesMax {
+		return nil, errs.NotRun(errs.ReasonBadRequest, 0, "the body is too large: %d bytes are given, at most %d are allowed", len(c.Body()), RequestBytesMax)
+	}
 	deadline, err := e.readDeadline(c.Get(HeaderDeadline))
 	if err != nil {
 		return nil, err
