--- a/load/send.go
+++ b/load/send.go
@@ -19,7 +19,7 @@
 	headerReason   = "Endivechute-Reason"
 	headerComeBack = "Endivechute-Come-Back-Ms"
 	headerDeadline = "Endivechute-Deadline-Ms"
-	headerLookUp   = "Endivechute-Look-Up"
+	headerLookUp   = "Endivechute-Lookup"
 )
 
 const (
--- /dev/null
+++ b/suite/commands_test.go
@@ -0,0 +1,376 @@
+package suite
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/endivechute/endivechute/load"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/store"
+)
+
+// commands are the scenario commands. NAME stands for the name of a process;
+// targets of process NAME are NAME-1, NAME-2 and so on.
+//
+//	platform                                start the platform
+//	policy TEAM/SERVICE FILE                write a policy
+//	entry NAME ZONE [--flag=...]            start an entry and list it
+//	targets NAME ZONE SERVICE COUNT [--..]  start targets and list them
+//	state NAME live|leaving|gone            change the list of instances
+//	ready ENTRY...                          wait until the entries are ready
+//	sees ENTRY SERVICE COUNT                wait until a look-up names COUNT entries
+//	fault platform|TARGET JSON              set the faults of a stand-in
+//	signal KILL|STOP|CONT|TERM NAME...      send a signal
+//	exits NAME                              wait for an exit with status 0
+//	load NAME [MIX] [rate=] [seconds=] [seed=] [attempts=] [via=ENTRY,...] [&]
+//	loaded NAME                             wait for a load in the background
+//	check NAME COND...                      conditions on a load's summary, as kinds.loan.ran>=10
+//	executions TARGET COND                  wait until the log's length fits, as >=10
+//	mark NAME                               remember the time
+//	quiet TARGET MARK SECONDS               nothing began that long after the mark, and all ended
+//	most TARGET COUNT                       no more than COUNT requests ever ran at once
+func commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	found := map[string]func(ts *testscript.TestScript, neg bool, args []string){}
+	for name, c := range map[string]struct {
+		run  func(f *fleet, ts *testscript.TestScript, args []string) error
+		args int
+	}{
+		"platform":   {platformCommand, 0},
+		"policy":     {policyCommand, 2},
+		"entry":      {entryCommand, 2},
+		"targets":    {targetsCommand, 4},
+		"state":      {stateCommand, 2},
+		"ready":      {readyCommand, 1},
+		"sees":       {seesCommand, 3},
+		"fault":      {faultCommand, 2},
+		"signal":     {signalCommand, 2},
+		"exits":      {exitsCommand, 1},
+		"load":       {loadCommand, 1},
+		"loaded":     {loadedCommand, 1},
+		"check":      {checkCommand, 2},
+		"executions": {executionsCommand, 2},
+		"mark":       {markCommand, 1},
+		"quiet":      {quietCommand, 3},
+		"most":       {mostCommand, 2},
+	} {
+		found[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			if neg || len(args) < c.args {
+				ts.Fatalf("%s: want at least %d arguments and no !", name, c.args)
+			}
+			f, ok := ts.Value(fleetKey{}).(*fleet)
+			if !ok {
+				ts.Fatalf("%s: no fleet", name)
+			}
+			if err := c.run(f, ts, args); err != nil {
+				f.showLogs(ts)
+				ts.Fatalf("%s: %v", name, err)
+			}
+		}
+	}
+	return found
+}
+
+// showLogs prints the end of each process's log after a failure.
+func (f *fleet) showLogs(ts *testscript.TestScript) {
+	const tail = 1500
+	for name := range f.processes {
+		text, err := os.ReadFile(filepath.Join(f.directory, name+".log"))
+		if err == nil {
+			ts.Logf("log of %s: ...%s", name, text[max(0, len(text)-tail):])
+		}
+	}
+}
+
+func platformCommand(f *fleet, _ *testscript.TestScript, _ []string) error {
+	f.platform = freeAddress()
+	if err := f.start("platform", "standin", "platform", "--address="+f.platform); err != nil {
+		return err
+	}
+	return f.publish()
+}
+
+func policyCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	url := "http://" + f.platform + "/v1/objects/teams/" + args[0]
+	version := uint64(0)
+	if text, err := f.send(http.MethodGet, url, ""); err == nil {
+		var object struct {
+			Version uint64 `json:"version"`
+		}
+		if err := json.Unmarshal(text, &object); err != nil {
+			return err
+		}
+		version = object.Version
+	}
+	_, err := f.send(http.MethodPut, url+"?if_version="+strconv.FormatUint(version, 10), ts.ReadFile(args[1]))
+	return err
+}
+
+func entryCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	return f.startEntry(args[0], args[1], args[2:])
+}
+
+func targetsCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	count, err := strconv.Atoi(args[3])
+	if err != nil {
+		return err
+	}
+	return f.startTargets(args[0], args[1], args[2], count, args[4:])
+}
+
+func stateCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	return f.setState(args[0], store.State(args[1]))
+}
+
+func readyCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	for _, name := range args {
+		err := until(name+" is ready", func() error {
+			_, err := f.send(http.MethodGet, "http://"+f.operators[name]+"/health/ready", "")
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func seesCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	want, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	return until("look-up", func() error {
+		text, err := f.send(http.MethodGet, "http://"+f.addresses[args[0]]+"/v1/lookup?service="+args[1], "")
+		if err != nil {
+			return err
+		}
+		var body struct {
+			Entries []struct{} `json:"entries"`
+		}
+		if err := json.Unmarshal(text, &body); err != nil {
+			return err
+		}
+		if len(body.Entries) != want {
+			return fmt.Errorf("the look-up names %d entries, want %d", len(body.Entries), want)
+		}
+		return nil
+	})
+}
+
+func faultCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	address := f.addresses[args[0]]
+	if args[0] == "platform" {
+		address = f.platform
+	}
+	return until("set a fault", func() error {
+		_, err := f.send(http.MethodPost, "http://"+address+"/control/faults", args[1])
+		return err
+	})
+}
+
+func signalCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	signal, known := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+	}[args[0]]
+	if !known {
+		return fmt.Errorf("signal %q: want KILL, STOP, CONT or TERM", args[0])
+	}
+	for _, name := range args[1:] {
+		if err := f.signal(name, signal); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func exitsCommand(f *fleet, _ *testscript.TestScript, args []string) error { return f.exits(args[0]) }
+
+func loadCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	options := load.Options{Entries: f.entries(), Targets: f.targets(), Mix: load.Kigali(), Rate: 50, Duration: time.Second, Seed: 1, Logger: logs.Discard()}
+	background := false
+	for _, arg := range args[1:] {
+		name, value, _ := strings.Cut(arg, "=")
+		var err error
+		var seconds float64
+		switch name {
+		case "&":
+			background = true
+		case "rate":
+			options.Rate, err = strconv.ParseFloat(value, 64)
+		case "seconds":
+			seconds, err = strconv.ParseFloat(value, 64)
+			options.Duration = time.Duration(seconds * float64(time.Second))
+		case "seed":
+			options.Seed, err = strconv.ParseUint(value, 10, 64)
+		case "attempts":
+			options.Attempts, err = strconv.Atoi(value)
+		case "via":
+			options.Entries = nil
+			for entry := range strings.SplitSeq(value, ",") {
+				options.Entries = append(options.Entries, f.addresses[entry])
+			}
+		default:
+			text := []byte(arg)
+			if file, readErr := os.ReadFile(ts.MkAbs(arg)); readErr == nil {
+				text = file
+			}
+			options.Mix, err = load.ParseMix(text)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	l := &running{done: make(chan struct{})}
+	f.loads[args[0]] = l
+	f.tasks.Go(func() {
+		defer close(l.done)
+		l.summary, l.err = load.Run(context.Background(), options)
+	})
+	if background {
+		return nil
+	}
+	return loadedCommand(f, ts, args)
+}
+
+func loadedCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	l := f.loads[args[0]]
+	if l == nil {
+		return fmt.Errorf("there is no load %q", args[0])
+	}
+	<-l.done
+	if l.err != nil || l.shown {
+		return l.err
+	}
+	l.shown = true
+	var table strings.Builder
+	if err := l.summary.Table(&table); err != nil {
+		return err
+	}
+	ts.Logf("%s", table.String())
+	for _, example := range l.summary.Verification.Examples {
+		ts.Logf("%s", example)
+	}
+	return nil
+}
+
+func checkCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	if err := loadedCommand(f, ts, args); err != nil {
+		return err
+	}
+	text, err := json.Marshal(f.loads[args[0]].summary)
+	if err != nil {
+		return err
+	}
+	var body map[string]any
+	if err := json.Unmarshal(text, &body); err != nil {
+		return err
+	}
+	for _, condition := range args[1:] {
+		at := strings.IndexAny(condition, "<>=")
+		if at < 0 {
+			return fmt.Errorf("condition %q: want a name, one of = >= <=, and a number", condition)
+		}
+		value, err := lookUp(body, condition[:at])
+		if err != nil {
+			return err
+		}
+		if err := holds(value, condition[at:]); err != nil {
+			return fmt.Errorf("%s: %w\n%s", condition, err, text)
+		}
+	}
+	return nil
+}
+
+// lookUp finds a number in nested objects by its path, such as kinds.loan.ran.
+func lookUp(body map[string]any, path string) (float64, error) {
+	var value any = body
+	for name := range strings.SplitSeq(path, ".") {
+		object, _ := value.(map[string]any)
+		value = object[name]
+	}
+	number, ok := value.(float64)
+	if !ok {
+		return 0, fmt.Errorf("there is no number %q in the summary", path)
+	}
+	return number, nil
+}
+
+// holds checks a number against a condition such as >=10.
+func holds(value float64, condition string) error {
+	operator := strings.TrimRight(condition, "0123456789.")
+	want, err := strconv.ParseFloat(condition[len(operator):], 64)
+	if err != nil {
+		return err
+	}
+	ok := map[string]bool{"=": value == want, ">=": value >= want, "<=": value <= want}
+	if held, known := ok[operator]; !known || !held {
+		return fmt.Errorf("the value is %v", value)
+	}
+	return nil
+}
+
+func executionsCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	return until("executions of "+args[0], func() error {
+		log, err := load.ReadLog(f.addresses[args[0]])
+		if err != nil {
+			return err
+		}
+		return holds(float64(len(log.Executions)), args[1])
+	})
+}
+
+func markCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	f.marks[args[0]] = time.Now()
+	return nil
+}
+
+func quietCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	log, err := load.ReadLog(f.addresses[args[0]])
+	if err != nil {
+		return err
+	}
+	seconds, err := strconv.ParseFloat(args[2], 64)
+	if err != nil {
+		return err
+	}
+	mark := f.marks[args[1]].UnixMilli()
+	before, last := 0, int64(0)
+	for _, e := range log.Executions {
+		if e.BeganMillis < mark {
+			before++
+		}
+		if e.EndedMillis == 0 || e.Canceled {
+			return fmt.Errorf("%s: request %s did not end: %+v", args[0], e.Request, e)
+		}
+		last = max(last, e.BeganMillis-mark)
+	}
+	ts.Logf("%s: the last work began %d ms after %s", args[0], last, args[1])
+	if before == 0 {
+		return fmt.Errorf("%s ran nothing before %s, so that its silence shows nothing", args[0], args[1])
+	}
+	if last > int64(seconds*1000) {
+		return fmt.Errorf("%s: work began %d ms after %s, at most %s s are allowed", args[0], last, args[1], args[2])
+	}
+	return nil
+}
+
+func mostCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	log, err := load.ReadLog(f.addresses[args[0]])
+	if err != nil {
+		return err
+	}
+	if log.MostRunning == 0 {
+		return fmt.Errorf("%s ran nothing", args[0])
+	}
+	return holds(float64(log.MostRunning), "<="+args[1])
+}
