Spread the settings over relays, trees and digests

Cause: each entry watched the store by itself, which costs a waiting call per process and leaves a zone that is cut from the store without settings. Ruled out: a hand-on from the relay to every member (110 members times 2 KB a change is more than a relay's 3 KB/s allow); a pull that sends all versions each time (the hashes of 64 buckets come first). Before: no package relay; a new process with the store down had no settings. After: two relays per zone by rendezvous hash watch the store and hand on over a tree of width 3; digests are compared each second inside the zone, by relays with two other zones a second; what is lacking is pulled. A new process is ready by the store, by one peer whose settings the store confirmed within 30 s, or by two peers.

--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,376 @@
+package relay_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "4304", "rapid.checks": "150", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// world is a fleet in one thread: the processes take steps only when the test
+// says so.
+type world struct {
+	now      time.Time
+	objects  map[string]store.Object
+	revision uint64
+	down     bool
+	// cut holds the zones that reach neither the store nor other zones;
+	// noStore those that reach other zones only.
+	cut, noStore map[place.Zone]bool
+	processes    map[place.Instance]*relay.Relay
+	zones        map[place.Instance]place.Zone
+	watches      int
+	reads        int
+	messages     int
+	bytes        int
+	inForce      map[place.Instance]map[string]uint64
+	// handed are the messages that were handed on so far; any may come again.
+	handed []*wire.Settings
+}
+
+func newWorld() *world {
+	return &world{
+		now: time.Unix(1000, 0), objects: map[string]store.Object{}, cut: map[place.Zone]bool{}, noStore: map[place.Zone]bool{},
+		processes: map[place.Instance]*relay.Relay{}, zones: map[place.Instance]place.Zone{}, inForce: map[place.Instance]map[string]uint64{},
+	}
+}
+
+var errCut = errors.New("cut")
+
+// edge is the world as one process sees it: a Store and a Caller.
+type edge struct {
+	store.Store
+	world    *world
+	instance place.Instance
+}
+
+func (e edge) reach() error {
+	zone := e.world.zones[e.instance]
+	if e.world.down || e.world.cut[zone] || e.world.noStore[zone] {
+		return errCut
+	}
+	return nil
+}
+
+func (e edge) since(after uint64) []store.Object {
+	var found []store.Object
+	for _, o := range e.world.objects {
+		if o.Version() > after {
+			found = append(found, o)
+		}
+	}
+	slices.SortFunc(found, func(a, b store.Object) int { return int(a.Version()) - int(b.Version()) })
+	return found
+}
+
+func (e edge) List(context.Context, string) ([]store.Object, uint64, error) {
+	e.world.reads++
+	return e.since(0), e.world.revision, e.reach()
+}
+
+func (e edge) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]store.Object, uint64, error) {
+	e.world.watches++
+	return e.since(after), e.world.revision, e.reach()
+}
+
+func (e edge) Call(ctx context.Context, to place.Instance, message wire.Message) (wire.Message, error) {
+	w := e.world
+	from := w.zones[e.instance]
+	peer, lives := w.processes[to]
+	if !lives || (from != w.zones[to] && (w.cut[from] || w.cut[w.zones[to]])) {
+		return nil, errCut
+	}
+	w.messages++
+	if settings, ok := message.(*wire.Settings); ok {
+		w.handed = append(w.handed, settings)
+	}
+	answer := peer.Handle(ctx, wire.Hello{Instance: e.instance, Zone: from}, message)
+	w.bytes += size(message) + size(answer)
+	return answer, nil
+}
+
+// size is about what a message takes on the wire, in bytes.
+func size(message wire.Message) int {
+	bytes := 60
+	if settings, ok := message.(*wire.Settings); ok {
+		for _, o := range settings.Objects {
+			bytes += len(o.Value) + len(o.Path) + 30
+		}
+		bytes += 70 * len(settings.Versions)
+	}
+	if pull, ok := message.(*wire.SettingsPull); ok {
+		bytes += 9*len(pull.Buckets) + 50*len(pull.Paths)
+	}
+	return bytes
+}
+
+func (w *world) start(instance place.Instance, zone place.Zone) *relay.Relay {
+	e := edge{world: w, instance: instance}
+	w.zones[instance] = zone
+	process := relay.New(wire.Hello{Instance: instance, Zone: zone}, config.NewTables(zone.Region(), nil), e, e,
+		func() relay.View { return w.view(zone) }, func() time.Time { return w.now }, logs.Discard())
+	w.processes[instance] = process
+	w.inForce[instance] = map[string]uint64{}
+	return process
+}
+
+func (w *world) view(zone place.Zone) relay.View {
+	var own []place.Instance
+	others := map[place.Zone][]place.Instance{}
+	for _, instance := range w.living() {
+		if z := w.zones[instance]; z == zone {
+			own = append(own, instance)
+		} else {
+			others[z] = append(others[z], instance)
+		}
+	}
+	return relay.NewView(own, others)
+}
+
+func (w *world) stop(instance place.Instance) { delete(w.processes, instance) }
+
+// step lets one process do all that falls into one second.
+func (w *world) step(instance place.Instance) {
+	process := w.processes[instance]
+	process.Follow(context.Background())
+	process.HandOn(context.Background())
+	process.Round(context.Background())
+	process.HandOn(context.Background())
+}
+
+func (w *world) stepAll(rounds int) {
+	for range rounds {
+		w.now = w.now.Add(time.Second)
+		for _, instance := range w.living() {
+			w.step(instance)
+		}
+	}
+}
+
+func (w *world) write(path string, value []byte, deleted bool) uint64 {
+	w.revision++
+	w.objects[path] = store.NewObject(path, w.revision, value, deleted)
+	return w.revision
+}
+
+func good(slots int) []byte {
+	envelope := config.NewEnvelope(nil, "ana", "c", time.Unix(0, 0), []byte(fmt.Sprintf(`{"slots":%d}`, slots)))
+	value, err := envelope.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// TestSettingsSpread runs a fleet of three zones with writes of good and bad
+// objects and deletions, store outages, cut zones, messages that come late and
+// again, and processes that stop and start. The oracle keeps, for each path, the versions that were ever written
+// and which of them are good. It wants that a version in force never goes back,
+// that only good versions are in force, and that after at most spreadRounds
+// rounds every process that reaches the store over any chain of processes has
+// the last good one.
+func TestSettingsSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		zones := []place.Zone{"kigali/a", "huye/a", "musanze/b"}
+		paths := []string{"fleet", "teams/a/x", "teams/a/y"}
+		isGood := map[uint64]bool{}
+		started := 0
+		begin := func(t *rapid.T) {
+			w.start(place.Instance(fmt.Sprintf("e%d", started)), rapid.SampledFrom(zones).Draw(t, "zone"))
+			started++
+		}
+		for range 7 {
+			begin(t)
+		}
+		zone := rapid.SampledFrom(zones)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				path := rapid.SampledFrom(paths[1:]).Draw(t, "path")
+				isGood[w.write(path, good(rapid.IntRange(1, 9).Draw(t, "slots")), false)] = true
+			},
+			"bad":    func(t *rapid.T) { w.write(rapid.SampledFrom(paths).Draw(t, "path"), []byte(`{"slots":1}`), false) },
+			"delete": func(t *rapid.T) { isGood[w.write(rapid.SampledFrom(paths).Draw(t, "path"), nil, true)] = true },
+			"down":   func(t *rapid.T) { w.down = rapid.Bool().Draw(t, "down") },
+			"cut":    func(t *rapid.T) { w.cut[zone.Draw(t, "zone")] = rapid.Bool().Draw(t, "cut") },
+			"no_store": func(t *rapid.T) {
+				w.noStore[zone.Draw(t, "zone")] = rapid.Bool().Draw(t, "cut")
+			},
+			"start": func(t *rapid.T) {
+				if len(w.processes) < 12 {
+					begin(t)
+				}
+			},
+			"stop": func(t *rapid.T) {
+				if len(w.processes) > 3 {
+					w.stop(rapid.SampledFrom(w.living()).Draw(t, "instance"))
+				}
+			},
+			"late": func(t *rapid.T) {
+				if len(w.handed) > 0 {
+					process := w.processes[rapid.SampledFrom(w.living()).Draw(t, "instance")]
+					process.Handle(context.Background(), wire.Hello{Instance: "e0"}, rapid.SampledFrom(w.handed).Draw(t, "message"))
+				}
+			},
+			"step":     func(t *rapid.T) { w.step(rapid.SampledFrom(w.living()).Draw(t, "instance")) },
+			"step_all": func(*rapid.T) { w.stepAll(1) },
+			"settle":   func(t *rapid.T) { w.settle(t) },
+			"":         func(t *rapid.T) { w.checkForce(t, isGood) },
+		})
+	})
+}
+
+// spreadRounds is the stated time of the spread, in rounds of one second, for
+// a fleet of three zones of at most twelve processes.
+const spreadRounds = 12
+
+// settle waits and then wants the last good versions wherever the store
+// reaches, and equal tables in processes that reach each other.
+func (w *world) settle(t *rapid.T) {
+	w.stepAll(spreadRounds)
+	served := map[place.Zone]bool{}
+	anyServed := false
+	for _, zone := range w.zones {
+		served[zone] = !w.down && !w.cut[zone] && !w.noStore[zone] && len(w.members(zone)) > 0
+		anyServed = anyServed || served[zone]
+	}
+	for _, instance := range w.living() {
+		zone := w.zones[instance]
+		process := w.processes[instance]
+		if !served[zone] && (!anyServed || w.cut[zone]) {
+			continue
+		}
+		if !process.Ready() {
+			t.Fatalf("%s in %s is not ready", instance, zone)
+		}
+		for path, newest := range w.objects {
+			held := process.Tables().Version(path)
+			if max(held.InForce(), held.Refused()) != newest.Version() {
+				t.Fatalf("%s in %s holds %+v after %d rounds; the store has version %d", instance, zone, held, spreadRounds, newest.Version())
+			}
+		}
+	}
+}
+
+func (w *world) members(zone place.Zone) []place.Instance {
+	var found []place.Instance
+	for instance := range w.processes {
+		if w.zones[instance] == zone {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// living returns the live instances in the order of their names.
+func (w *world) living() []place.Instance { return slices.Sorted(maps.Keys(w.processes)) }
+
+func (w *world) checkForce(t *rapid.T, isGood map[uint64]bool) {
+	for instance, process := range w.processes {
+		for _, path := range process.Tables().Paths("") {
+			version := process.Tables().Version(path).InForce()
+			if version < w.inForce[instance][path] {
+				t.Fatalf("%s went back from version %d to %d of %s", instance, w.inForce[instance][path], version, path)
+			}
+			if version > 0 && !isGood[version] {
+				t.Fatalf("%s has the bad version %d of %s in force", instance, version, path)
+			}
+			w.inForce[instance][path] = version
+		}
+	}
+}
+
+func TestLateJoinerWithTheStoreDown(t *testing.T) {
+	w := newWorld()
+	for _, instance := range []place.Instance{"e0", "e1", "e2"} {
+		w.start(instance, "kigali/a")
+	}
+	w.write("teams/a/x", good(3), false)
+	w.stepAll(3)
+	w.down = true
+	w.now = w.now.Add(2 * relay.FreshAge)
+	late := w.start("late", "kigali/a")
+	if late.Ready() {
+		t.Fatal("the process is ready before it has the settings")
+	}
+	late.Round(context.Background())
+	if late.Ready() {
+		t.Error("one peer was enough though the store has long been down")
+	}
+	w.stepAll(8)
+	if policy, found := late.Tables().Policy("a/x"); !late.Ready() || !found || policy.Slots() != 3 {
+		t.Errorf("ready %v, policy found %v", late.Ready(), found)
+	}
+	alone := newWorld()
+	alone.down = true
+	lonely := alone.start("e0", "kigali/a")
+	alone.start("e1", "kigali/a")
+	alone.stepAll(8)
+	if lonely.Ready() {
+		t.Error("a process is ready though no process and no store has settings")
+	}
+}
+
+// TestSpreadCost logs what a change costs at three sizes of a zone.
+func TestSpreadCost(t *testing.T) {
+	for _, members := range []int{3, 30, 110} {
+		w := newWorld()
+		for i := range members {
+			w.start(place.Instance(fmt.Sprintf("e%d", i)), "kigali/a")
+		}
+		w.start("other", "huye/a")
+		for i := range 100 {
+			w.write(fmt.Sprintf("teams/a/s%d", i), good(1), false)
+		}
+		w.stepAll(12)
+		idleMessages, idleBytes, idleWatches := w.messages, w.bytes, w.watches
+		w.stepAll(10)
+		idle := w.messages - idleMessages
+		idleBytes = w.bytes - idleBytes
+		idleWatches = w.watches - idleWatches
+		version := w.write("teams/a/s0", good(2), false)
+		before, bytesBefore, rounds := w.messages, w.bytes, 0
+		for ; !w.allHold("teams/a/s0", version); rounds++ {
+			if rounds == 30 {
+				t.Fatalf("%d members: the change is not in force after %d rounds", members, rounds)
+			}
+			w.stepAll(1)
+		}
+		t.Logf("%d members: idle %.1f messages and %.0f bytes a member and second, %.1f watch calls a round; a change was in force after %d rounds with %d messages, %d bytes a member",
+			members, float64(idle)/10/float64(members), float64(idleBytes)/10/float64(members), float64(idleWatches)/10,
+			rounds, w.messages-before, (w.bytes-bytesBefore)/members)
+	}
+}
+
+func (w *world) allHold(path string, version uint64) bool {
+	for _, process := range w.processes {
+		if process.Tables().Version(path).InForce() != version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/relay/round.go
@@ -0,0 +1,199 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// Round compares digests with one other member of the zone and, on a relay,
+// with a member of some other zones, and then pulls from those that are ahead.
+func (r *Relay) Round(ctx context.Context) {
+	for _, peer := range r.partners() {
+		answer, err := r.call(ctx, peer, r.digest())
+		if err != nil {
+			continue
+		}
+		if digest, ok := answer.(*wire.SettingsDigest); ok {
+			r.compare(peer, digest)
+		}
+	}
+	r.pullFromAhead(ctx)
+}
+
+// partners chooses whom to compare with in this round. The zones take turns,
+// so that a zone which reaches a single other one meets it soon. A process
+// that is not ready yet asks other zones too, since its own may be starting.
+func (r *Relay) partners() []place.Instance {
+	r.mu.Lock()
+	r.rounds++
+	turn := r.rounds
+	r.mu.Unlock()
+	view := r.view()
+	members := slices.DeleteFunc(slices.Clone(view.zone), func(m place.Instance) bool { return m == r.self.Instance })
+	var partners []place.Instance
+	if len(members) > 0 {
+		partners = append(partners, members[r.below(len(members))])
+	}
+	if !slices.Contains(relaysOf(view.zone), r.self.Instance) && r.Ready() {
+		return partners
+	}
+	zones := slices.Sorted(maps.Keys(view.others))
+	for i := range min(zonesPerRound, len(zones)) {
+		zone := zones[(int(turn)*zonesPerRound+i)%len(zones)]
+		if relays := relaysOf(view.others[zone]); len(relays) > 0 {
+			partners = append(partners, relays[r.below(len(relays))])
+		}
+	}
+	return partners
+}
+
+// digest sums up what this process holds. The revision is read before the
+// tables: tables only grow, so they hold everything up to it.
+func (r *Relay) digest() *wire.SettingsDigest {
+	revision := r.revision.Load()
+	confirmed := r.confirmed.Load()
+	ready := r.Ready()
+	digest := r.Tables().Digest()
+	return &wire.SettingsDigest{
+		Highest: digest.Highest(), Hash: digest.Hash(), Revision: revision,
+		AgeMillis: max(0, r.now().UnixMilli()-confirmed), Ready: ready,
+	}
+}
+
+// compare notes whether a peer holds something that this process lacks. When
+// both hold the same, what the store confirmed to one is true for the other.
+func (r *Relay) compare(peer place.Instance, theirs *wire.SettingsDigest) {
+	ours := r.Tables().Digest()
+	if ours.Hash() == theirs.Hash && theirs.Revision > 0 && theirs.AgeMillis >= 0 {
+		age := time.Duration(theirs.AgeMillis) * time.Millisecond
+		r.confirm(theirs.Revision, r.now().Add(-age))
+		if theirs.Ready && age <= FreshAge {
+			r.becomeReady("a peer whose settings the store confirmed")
+		}
+	}
+	joining := theirs.Ready && !r.Ready()
+	if !joining && !ours.MayLack(config.NewDigest(theirs.Highest, theirs.Hash)) {
+		return
+	}
+	r.mu.Lock()
+	r.ahead[peer] = true
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Relay) pullFromAhead(ctx context.Context) {
+	r.mu.Lock()
+	ahead := slices.Sorted(maps.Keys(r.ahead))
+	clear(r.ahead)
+	r.mu.Unlock()
+	for _, peer := range ahead {
+		if err := r.pull(ctx, peer); err != nil {
+			r.log.WithError(err).WithField("peer", peer).Debug("The settings can't be pulled.")
+		}
+	}
+}
+
+// pull takes from a peer everything that it holds and this process lacks. A
+// relay hands on what it pulled, since it may come from another zone.
+func (r *Relay) pull(ctx context.Context, peer place.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
+	defer cancel()
+	tables := r.Tables()
+	buckets := tables.Buckets()
+	answer, err := r.ask(ctx, peer, &wire.SettingsPull{Buckets: buckets[:]})
+	if err != nil {
+		return err
+	}
+	var lacking []string
+	for _, v := range answer.Versions {
+		if tables.Version(v.Path).Lacks(config.NewVersion(v.Path, v.InForce, v.Refused)) {
+			lacking = append(lacking, v.Path)
+		}
+	}
+	var news []store.Object
+	for len(lacking) > 0 {
+		part, err := r.ask(ctx, peer, &wire.SettingsPull{Paths: lacking[:min(pathsPerPull, len(lacking))]})
+		if err != nil {
+			return err
+		}
+		objects := objectsOf(part)
+		news = append(news, r.take(objects)...)
+		left := without(lacking, objects)
+		if len(left) == len(lacking) {
+			return errors.Newf("peer %s sent none of the objects it named", peer)
+		}
+		lacking = left
+	}
+	if r.IsRelay() {
+		r.enqueue(handOn{root: r.self.Instance, objects: news})
+	}
+	if answer.Ready {
+		r.join(peer)
+	}
+	return nil
+}
+
+func (r *Relay) ask(ctx context.Context, peer place.Instance, pull *wire.SettingsPull) (*wire.Settings, error) {
+	answer, err := r.call(ctx, peer, pull)
+	if err != nil {
+		return nil, errors.Wrapf(err, "pull settings from %s", peer)
+	}
+	settings, ok := answer.(*wire.Settings)
+	if !ok {
+		return nil, errors.Newf("pull settings from %s: the answer is no Settings message", peer)
+	}
+	return settings, nil
+}
+
+func without(paths []string, got []store.Object) []string {
+	return slices.DeleteFunc(slices.Clone(paths), func(path string) bool {
+		return slices.ContainsFunc(got, func(o store.Object) bool { return o.Path() == path })
+	})
+}
+
+// join counts the peers from which a new process took everything. It is ready
+// after JoinPeers of them, or after all if there are fewer.
+func (r *Relay) join(peer place.Instance) {
+	view := r.view()
+	known := len(view.zone) - 1
+	for _, members := range view.others {
+		known += len(members)
+	}
+	r.mu.Lock()
+	r.joined[peer] = true
+	enough := len(r.joined) >= min(JoinPeers, known)
+	r.mu.Unlock()
+	if enough {
+		r.becomeReady("peers")
+	}
+}
+
+// answerPull answers with the versions in differing buckets, or with objects.
+func (r *Relay) answerPull(pull *wire.SettingsPull) wire.Message {
+	answer := &wire.Settings{Ready: r.Ready()}
+	tables := r.Tables()
+	if len(pull.Buckets) == config.BucketCount {
+		for _, v := range tables.Versions([config.BucketCount]uint64(pull.Buckets)) {
+			answer.Versions = append(answer.Versions, wire.SettingsVersion{Path: v.Path(), InForce: v.InForce(), Refused: v.Refused()})
+		}
+		return answer
+	}
+	var objects []store.Object
+	for _, path := range pull.Paths[:min(pathsPerPull, len(pull.Paths))] {
+		objects = append(objects, tables.Held(path)...)
+	}
+	answer.Objects = fit(objects)
+	return answer
+}
--- /dev/null
+++ b/relay/spread.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// handOn is a set of objects to hand to the members below this one in the tree
+// of the root.
+type handOn struct {
+	root    place.Instance
+	objects []store.Object
+}
+
+// enqueue leaves a job to the goroutine that hands on. A job that finds the
+// queue full is dropped: the comparison of digests makes up for it.
+func (r *Relay) enqueue(job handOn) {
+	if len(job.objects) == 0 {
+		return
+	}
+	select {
+	case r.queue <- job:
+	default:
+		r.log.Warn("Too many changes wait to be handed on; the peers will pull them.")
+	}
+}
+
+// HandOn does the waiting jobs and returns when none is left. Run does the
+// same in the background.
+func (r *Relay) HandOn(ctx context.Context) {
+	for {
+		select {
+		case job := <-r.queue:
+			r.handOn(ctx, job)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Relay) handOn(ctx context.Context, job handOn) {
+	children := childrenOf(job.root, r.self.Instance, r.view().zone)
+	for _, part := range split(job.objects) {
+		message := &wire.Settings{Root: string(job.root), Objects: part}
+		var tasks conc.WaitGroup
+		for _, child := range children {
+			tasks.Go(func() { r.give(ctx, child, message) })
+		}
+		tasks.Wait()
+	}
+}
+
+func (r *Relay) give(ctx context.Context, child place.Instance, message *wire.Settings) {
+	answer, err := r.call(ctx, child, message)
+	if err != nil {
+		r.log.WithError(err).WithField("peer", child).Debug("A change was not handed on; the peer will pull it.")
+		return
+	}
+	if digest, ok := answer.(*wire.SettingsDigest); ok {
+		r.compare(child, digest)
+	}
+}
+
+// childrenOf returns the members below self in the tree of the root: the root
+// comes first, the others follow in rendezvous order, and the member at place
+// i hands on to the treeWidth members from place i*treeWidth+1.
+func childrenOf(root, self place.Instance, members []place.Instance) []place.Instance {
+	others := slices.DeleteFunc(slices.Clone(members), func(m place.Instance) bool { return m == root })
+	order := append([]place.Instance{root}, rank(string(root), others)...)
+	at := slices.Index(order, self)
+	if at < 0 {
+		return nil
+	}
+	first := min(at*treeWidth+1, len(order))
+	return order[first:min(first+treeWidth, len(order))]
+}
+
+// split cuts objects into parts that fit into one message each.
+func split(objects []store.Object) [][]wire.SettingsObject {
+	var parts [][]wire.SettingsObject
+	for len(objects) > 0 {
+		part := fit(objects)
+		parts = append(parts, part)
+		objects = objects[len(part):]
+	}
+	return parts
+}
+
+// fit returns the first objects that fit into one message, one at least.
+func fit(objects []store.Object) []wire.SettingsObject {
+	var part []wire.SettingsObject
+	size := 0
+	for _, o := range objects {
+		size += len(o.Value()) + len(o.Path()) + objectBytesExtra
+		if len(part) > 0 && size > messageBytesMax {
+			break
+		}
+		part = append(part, wire.SettingsObject{Path: o.Path(), Version: o.Version(), Deleted: o.Deleted(), Value: o.Value()})
+	}
+	return part
+}
+
+func objectsOf(message *wire.Settings) []store.Object {
+	objects := make([]store.Object, 0, len(message.Objects))
+	for _, o := range message.Objects {
+		objects = append(objects, store.NewObject(o.Path, o.Version, o.Value, o.Deleted))
+	}
+	return objects
+}
+
+// Handle answers the messages of other processes about settings, and nil to
+// any other message.
+func (r *Relay) Handle(_ context.Context, peer wire.Hello, message wire.Message) wire.Message {
+	switch m := message.(type) {
+	case *wire.SettingsDigest:
+		r.compare(peer.Instance, m)
+		return r.digest()
+	case *wire.Settings:
+		r.enqueue(handOn{root: place.Instance(m.Root), objects: r.take(objectsOf(m))})
+		return r.digest()
+	case *wire.SettingsPull:
+		return r.answerPull(m)
+	}
+	return nil
+}
+
+func (r *Relay) call(ctx context.Context, peer place.Instance, message wire.Message) (wire.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	r.sent.Add(1)
+	return r.caller.Call(ctx, peer, message)
+}
