Spread settings and the list of instances through two relays a zone

Cause: each entry read the settings and the list of instances itself; at 4,400 entries that is 4,400 watches and as many reads a second, twice what the store gives. Ruled out: the whole list from a relay at each change (about 0.5 MB for one restarted instance); versions given by relays (two relays would give different ones). Instead the later read wins, and only rows of differing buckets travel. Before: every entry a watch and one read a second. Conclusion: 80 relays read the list, 80 reads a second at the target size.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -4,24 +4,26 @@
 	"time"
 
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/store"
 	"github.com/endivechute/endivechute/wire"
 )
 
 // Dump is the state of a process, for operators.
 type Dump struct {
-	Instance    place.Instance    `json:"instance"`
-	Zone        place.Zone        `json:"zone"`
-	Incarnation uint64            `json:"incarnation"`
-	Version     int               `json:"protocol_version"`
-	At          time.Time         `json:"at"`
-	Ready       bool              `json:"ready"`
-	Leaving     bool              `json:"leaving"`
-	InFlight    int64             `json:"in_flight"`
-	Versions    map[string]uint64 `json:"settings_versions"`
-	Peers       []DumpPeer        `json:"peers"`
-	Targets     []DumpTarget      `json:"targets"`
-	Services    []place.Service   `json:"services"`
+	Instance    place.Instance  `json:"instance"`
+	Zone        place.Zone      `json:"zone"`
+	Incarnation uint64          `json:"incarnation"`
+	Version     int             `json:"protocol_version"`
+	At          time.Time       `json:"at"`
+	Ready       bool            `json:"ready"`
+	Leaving     bool            `json:"leaving"`
+	InFlight    int64           `json:"in_flight"`
+	Settings    relay.Dump      `json:"settings"`
+	RosterAge   int64           `json:"roster_age_ms"`
+	Peers       []DumpPeer      `json:"peers"`
+	Targets     []DumpTarget    `json:"targets"`
+	Services    []place.Service `json:"services"`
 }
 
 // DumpPeer is what the process knows of another entry.
@@ -47,7 +49,7 @@
 	v := e.view.Load()
 	dump := Dump{
 		Instance: e.self.Instance, Zone: e.self.Zone, Incarnation: e.self.Incarnation, Version: wire.Version,
-		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Versions: e.versions(),
+		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Settings: e.relay.Dump(), RosterAge: e.rosterAge(),
 	}
 	for _, entry := range v.entries {
 		if entry.Instance == e.self.Instance {
@@ -68,11 +70,12 @@
 	return dump
 }
 
-func (e *Entry) versions() map[string]uint64 {
-	tables := e.tables.Load()
-	versions := map[string]uint64{}
-	for _, path := range tables.Paths("") {
-		versions[path] = tables.Version(path).InForce()
+// rosterAge returns the age of the list of instances in milliseconds, or -1 if
+// none is known.
+func (e *Entry) rosterAge() int64 {
+	table := e.roster.Table()
+	if table == nil {
+		return -1
 	}
-	return versions
+	return table.Age(e.now()).Milliseconds()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/peers"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/roster"
 	"github.com/endivechute/endivechute/store"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -20,25 +24,32 @@
 // ports call Serve, Lookup and Handle from many goroutines at once.
 type Entry struct {
 	self     wire.Hello
-	store    store.Store
+	seeds    map[place.Instance]string
 	pool     *peers.Pool
 	heart    *peers.Heart
+	relay    *relay.Relay
+	roster   *roster.Follower
 	now      func() time.Time
 	log      *logrus.Logger
 	stats    *Stats
 	once     *keptAnswers
 	view     atomic.Pointer[view]
-	tables   atomic.Pointer[config.Tables]
-	settled  atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 }
 
-// New makes an Entry that knows no settings and no instances yet.
-func New(self wire.Hello, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, log *logrus.Logger) *Entry {
-	e := &Entry{self: self, store: platform, pool: pool, heart: heart, now: now, log: log, stats: NewStats(), once: newKeptAnswers()}
-	e.view.Store(&view{})
-	e.tables.Store(config.NewTables(self.Zone.Region(), nil))
+// New makes an Entry that knows no settings and no instances yet. seeds names
+// the peers, with their addresses, that it asks while the platform is down and
+// no list of instances is known.
+func New(self wire.Hello, seeds map[place.Instance]string, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, logger *logrus.Logger) *Entry {
+	e := &Entry{
+		self: self, seeds: seeds, pool: pool, heart: heart, now: now, log: logs.Part(logger, "entry"),
+		stats: NewStats(), once: newKeptAnswers(),
+	}
+	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
+	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
+	e.roster.OnChange(e.takeRoster)
+	e.takeRoster(store.Roster{})
 	return e
 }
 
@@ -52,16 +63,20 @@
 }
 
 func (e *Entry) informed() bool {
-	return e.settled.Load() && e.view.Load().rosterKnown
+	return e.relay.Ready() && e.roster.Table() != nil
 }
 
 // Handle answers the messages of other entries. It implements wire.Handler.
-func (e *Entry) Handle(ctx context.Context, _ wire.Hello, message wire.Message) wire.Message {
+func (e *Entry) Handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
 	switch m := message.(type) {
 	case *wire.Beat:
 		return e.heart.Answer()
 	case *wire.Forward:
 		return e.handleForward(ctx, m)
+	case *wire.RosterAsk:
+		return e.roster.Handle(m)
+	case *wire.SettingsDigest, *wire.SettingsPull, *wire.Settings:
+		return e.relay.Handle(ctx, peer, m)
 	}
 	return &wire.Refused{Text: "the message is not one that an entry answers"}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -2,103 +2,100 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/roster"
 	"github.com/endivechute/endivechute/store"
 )
 
-// Times of following the platform.
-const (
-	// RosterInterval is the time between two reads of the list of instances.
-	RosterInterval = time.Second
-	// watchWait is how long one watch waits for a change.
-	watchWait = 20 * time.Second
-	// callTimeout bounds every other call to the platform.
-	callTimeout = 5 * time.Second
-	// retryWait is the pause after a call that failed.
-	retryWait = 500 * time.Millisecond
-)
-
 // Run follows the settings, the list of instances and the peers until ctx
 // ends.
 func (e *Entry) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
-	tasks.Go(func() { e.followRoster(ctx) })
-	tasks.Go(func() { e.followSettings(ctx) })
+	tasks.Go(func() { e.roster.Run(ctx) })
+	tasks.Go(func() { e.relay.Run(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
 	tasks.Wait()
 }
 
-func (e *Entry) followRoster(ctx context.Context) {
-	for {
-		e.readRoster(ctx)
-		if !pause(ctx, RosterInterval) {
-			return
+// takeRoster makes a new list of instances known to the process. The seeds
+// stay known as long as the list is empty.
+func (e *Entry) takeRoster(list store.Roster) {
+	addresses := map[place.Instance]string{}
+	if len(list.Entries) == 0 {
+		addresses = maps.Clone(e.seeds)
+	}
+	for _, listed := range list.Entries {
+		if listed.Instance != e.self.Instance {
+			addresses[listed.Instance] = listed.PeerAddress
 		}
 	}
+	e.pool.SetAddresses(addresses)
+	e.heart.SetPeers(slices.Sorted(maps.Keys(addresses)))
+	var before view
+	if held := e.view.Load(); held != nil {
+		before = *held
+	}
+	e.view.Store(before.withRoster(list, e.self.Zone, e.relay.Tables()))
 }
 
-func (e *Entry) readRoster(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	roster, err := e.store.Roster(ctx)
-	if err != nil {
-		e.log.WithError(err).Debug("The list of instances can't be read.")
-		return
+// live returns the members of an availability zone that can be reached and
+// don't leave, this process among them.
+func (e *Entry) live(zone place.Zone) []place.Instance {
+	now := e.now()
+	var members []place.Instance
+	if zone == e.self.Zone && !e.leaving.Load() {
+		members = append(members, e.self.Instance)
 	}
-	addresses := map[place.Instance]string{}
-	var instances []place.Instance
-	for _, entry := range roster.Entries {
-		if entry.Instance != e.self.Instance {
-			addresses[entry.Instance] = entry.PeerAddress
-			instances = append(instances, entry.Instance)
+	for _, listed := range e.view.Load().zoneEntries[zone] {
+		health := e.heart.Health(listed.Instance)
+		if listed.Instance != e.self.Instance && health.Reachable(now) && !health.Leaving() {
+			members = append(members, listed.Instance)
 		}
 	}
-	e.pool.SetAddresses(addresses)
-	e.heart.SetPeers(instances)
-	e.view.Store(e.view.Load().withRoster(roster, e.self.Zone, e.tables.Load()))
+	slices.Sort(members)
+	return members
 }
 
-func (e *Entry) followSettings(ctx context.Context) {
-	var revision uint64
-	for ctx.Err() == nil {
-		objects, next, err := e.nextObjects(ctx, revision)
-		if err != nil {
-			e.log.WithError(err).Debug("The settings can't be read.")
-			pause(ctx, retryWait)
+// relayView tells the relay which processes live.
+func (e *Entry) relayView() relay.View {
+	others := map[place.Zone][]place.Instance{}
+	for zone := range e.view.Load().zoneEntries {
+		if zone == e.self.Zone {
 			continue
 		}
-		e.take(objects)
-		revision = next
+		if members := e.live(zone); len(members) > 0 {
+			others[zone] = members
+		}
 	}
-}
-
-func (e *Entry) nextObjects(ctx context.Context, revision uint64) ([]store.Object, uint64, error) {
-	if revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return e.store.List(ctx, "")
+	if len(others) == 0 && e.roster.Table() == nil {
+		others[""] = slices.Sorted(maps.Keys(e.seeds))
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
-	return e.store.Watch(ctx, "", revision, watchWait)
+	return relay.NewView(e.live(e.self.Zone), others)
 }
 
-// take brings objects into force. One that fails its checks is reported, and
-// the last good one stays.
-func (e *Entry) take(objects []store.Object) {
-	tables, outcomes := e.tables.Load().Apply(objects, e.now())
-	e.tables.Store(tables)
-	e.settled.Store(true)
-	for _, outcome := range outcomes {
-		if outcome.Kind() == config.OutcomeRefused {
-			e.log.WithError(outcome.Problem()).WithField("path", outcome.Path()).Error("An object is refused.")
+// rosterSources tells where the list of instances is to be read: the zone's
+// relays read the platform, and the others ask one of these.
+func (e *Entry) rosterSources() roster.Sources {
+	members := e.live(e.self.Zone)
+	relays := relay.Relays(members)
+	near := slices.DeleteFunc(slices.Clone(relays), func(i place.Instance) bool { return i == e.self.Instance })
+	var far []place.Instance
+	for zone := range e.view.Load().zoneEntries {
+		if zone != e.self.Zone {
+			far = append(far, e.live(zone)...)
 		}
 	}
+	if e.roster.Table() == nil {
+		far = slices.Sorted(maps.Keys(e.seeds))
+	}
+	return roster.NewSources(slices.Contains(relays, e.self.Instance), near, far)
 }
 
 // pause waits and tells whether ctx still goes on.
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -37,7 +37,7 @@
 	if !e.informed() {
 		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
 	}
-	if _, found := e.tables.Load().Policy(service); !found {
+	if _, found := e.relay.Tables().Policy(service); !found {
 		return Found{}, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", service)
 	}
 	e.stats.lookups.Inc()
--- a/entry/route.go
+++ b/entry/route.go
@@ -52,7 +52,7 @@
 	if !e.informed() {
 		return nil, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
 	}
-	policy, found := e.tables.Load().Policy(r.service)
+	policy, found := e.relay.Tables().Policy(r.service)
 	if !found {
 		return nil, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", r.service)
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -13,7 +13,6 @@
 // is never changed after it was published: whoever learns something builds the
 // next one and swaps the pointer, so that the path of a request takes no lock.
 type view struct {
-	rosterKnown bool
 	entries     map[place.Instance]store.Entry
 	zoneEntries map[place.Zone][]store.Entry
 	targets     map[place.Service]map[place.Zone][]store.Target
@@ -24,7 +23,6 @@
 // availability zone whose targets this process talks to itself.
 func (v *view) withRoster(roster store.Roster, zone place.Zone, tables *config.Tables) *view {
 	next := *v
-	next.rosterKnown = true
 	next.entries = map[place.Instance]store.Entry{}
 	next.zoneEntries = map[place.Zone][]store.Entry{}
 	for _, entry := range roster.Entries {
--- a/node/node.go
+++ b/node/node.go
@@ -54,7 +54,7 @@
 	pool := peers.New(self, peers.DialTCP)
 	heart := peers.NewHeart(self, pool, time.Now)
 	platform := store.NewClient(settings.PlatformAddress(), "")
-	process := entry.New(self, platform, pool, heart, time.Now, logs.Part(logger, "entry"))
+	process := entry.New(self, settings.Seeds(), platform, pool, heart, time.Now, logger)
 	return &Node{
 		settings: settings, log: logs.Part(logger, "node"), self: self, platform: platform, pool: pool,
 		process: process, listeners: opened,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -256,7 +256,7 @@
 func TestOperatorPort(t *testing.T) {
 	f := newFleet(t)
 	tests := map[string]string{
-		"/dump": `"settings_versions"`, "/metrics": "endivechute_requests_total", "/health/alive": "alive", "/health/ready": "ready",
+		"/dump": `"settings"`, "/metrics": "endivechute_requests_total", "/health/alive": "alive", "/health/ready": "ready",
 	}
 	f.send(t, 0, "GET", "/s/library/search-desk/", nil, "")
 	for page, want := range tests {
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -72,6 +72,9 @@
 	return r.jitter(wait)
 }
 
+// Relays returns the relays among the live members of an availability zone.
+func Relays(members []place.Instance) []place.Instance { return relaysOf(members) }
+
 // IsRelay tells whether this process is one of its zone's relays at the
 // moment.
 func (r *Relay) IsRelay() bool {
--- /dev/null
+++ b/roster/follow_test.go
@@ -0,0 +1,119 @@
+package roster_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/roster"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// world is a platform and processes that reach each other unless cut.
+type world struct {
+	list  store.Roster
+	reads int
+	calls int
+	now   time.Time
+	cut   map[place.Instance]bool
+	down  bool
+	all   map[place.Instance]*roster.Follower
+}
+
+func (w *world) Roster(context.Context) (store.Roster, error) {
+	w.reads++
+	if w.down {
+		return store.Roster{}, errors.New("down")
+	}
+	return w.list, nil
+}
+
+func (w *world) Call(_ context.Context, to place.Instance, message wire.Message) (wire.Message, error) {
+	w.calls++
+	ask, ok := message.(*wire.RosterAsk)
+	if !ok || w.cut[to] || w.all[to] == nil {
+		return nil, errors.New("unreachable")
+	}
+	return w.all[to].Handle(ask), nil
+}
+
+func (w *world) start(name place.Instance, sources roster.Sources) *roster.Follower {
+	f := roster.NewFollower(w, w, func() roster.Sources { return sources }, func() time.Time { return w.now }, logs.Discard())
+	w.all[name] = f
+	return f
+}
+
+func rows(names ...place.Instance) store.Roster {
+	var list store.Roster
+	for _, name := range names {
+		list.Entries = append(list.Entries, store.Entry{Instance: name, Zone: "kigali/a", State: store.StateLive})
+	}
+	return list
+}
+
+// The list spreads from the reader to a member that never reads the platform,
+// and on to another zone that is cut from it; an older list never comes back.
+func TestSpread(t *testing.T) {
+	w := &world{now: time.Unix(1000, 0), cut: map[place.Instance]bool{}, all: map[place.Instance]*roster.Follower{}, list: rows("a", "b")}
+	reader := w.start("reader", roster.NewSources(true, nil, nil))
+	member := w.start("member", roster.NewSources(false, []place.Instance{"reader"}, nil))
+	far := w.start("far", roster.NewSources(false, nil, []place.Instance{"member"}))
+	step := func() {
+		w.now = w.now.Add(roster.Interval)
+		for _, f := range []*roster.Follower{reader, member, far} {
+			f.Round(context.Background())
+		}
+	}
+	step()
+	w.list = rows("a", "c")
+	step()
+	for name, f := range map[string]*roster.Follower{"reader": reader, "member": member, "far": far} {
+		if diff := cmp.Diff(rows("a", "c"), f.Table().List()); diff != "" {
+			t.Errorf("%s differs (-want +got):\n%s", name, diff)
+		}
+	}
+	if w.reads != 2 {
+		t.Errorf("the platform was read %d times, want 2: once a round by the reader", w.reads)
+	}
+	calls := w.calls
+	step()
+	if got := w.calls - calls; got != 2 {
+		t.Errorf("a round without a change took %d calls, want 2", got)
+	}
+	// The reader is cut off and the platform goes back to an older list: the
+	// members read the platform themselves only once their list is old.
+	w.cut["reader"] = true
+	step()
+	if got := w.reads; got != 5 {
+		t.Errorf("the platform was read %d times, want 5", got)
+	}
+	stale := roster.New(rows("a", "b"), w.now.Add(-time.Hour))
+	answer := far.Handle(&wire.RosterAsk{Hash: stale.Hash()})
+	if answer.Same || !answer.Known {
+		t.Errorf("the answer to an older list is %+v", answer)
+	}
+}
+
+// With the platform down a new process takes the list from a peer, and keeps
+// it.
+func TestJoinWithThePlatformDown(t *testing.T) {
+	w := &world{now: time.Unix(1000, 0), cut: map[place.Instance]bool{}, all: map[place.Instance]*roster.Follower{}, list: rows("a")}
+	old := w.start("old", roster.NewSources(true, nil, nil))
+	old.Round(context.Background())
+	w.down = true
+	w.now = w.now.Add(time.Hour)
+	joiner := w.start("joiner", roster.NewSources(true, []place.Instance{"old"}, nil))
+	joiner.Round(context.Background())
+	if diff := cmp.Diff(rows("a"), joiner.Table().List()); diff != "" {
+		t.Fatalf("the joiner's list differs (-want +got):\n%s", diff)
+	}
+	if age := joiner.Table().Age(w.now); age != time.Hour {
+		t.Errorf("the joiner takes the list for %v old, want 1h", age)
+	}
+}
--- a/setup/entry.go
+++ b/setup/entry.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 	peerAddress     string
 	operatorAddress string
 	platformAddress string
+	peerSeeds       string
 	logLevel        string
 	logFormat       string
 	drainTimeout    time.Duration
@@ -48,6 +50,7 @@
 	flags.StringVar(&e.peerAddress, "peer-address", "", "IP:port on which the other entry instances are served")
 	flags.StringVar(&e.operatorAddress, "operator-address", "", "IP:port on which operators read dump, metrics and health")
 	flags.StringVar(&e.platformAddress, "platform-address", "", "IP:port of the platform's store")
+	flags.StringVar(&e.peerSeeds, "peer-seeds", "", "peers to ask while the platform is down, as name=IP:port, separated by commas")
 	flags.StringVar(&e.logLevel, "log-level", "info", "debug, info, warn or error")
 	flags.StringVar(&e.logFormat, "log-format", "text", "text or json")
 	flags.DurationVar(&e.drainTimeout, "drain-timeout", 30*time.Second, "longest time a graceful shutdown waits for running requests")
@@ -66,6 +69,9 @@
 	if err := e.checkAddresses(); err != nil {
 		return err
 	}
+	if _, err := parseSeeds(e.peerSeeds); err != nil {
+		return usage(err)
+	}
 	if e.drainTimeout < DrainTimeoutMin || e.drainTimeout > DrainTimeoutMax {
 		return usage(errors.Newf("drain-timeout: %v is given; want %v to %v", e.drainTimeout, DrainTimeoutMin, DrainTimeoutMax))
 	}
@@ -104,6 +110,25 @@
 	return nil
 }
 
+// parseSeeds reads a list such as "entry-1=127.0.0.1:8001,entry-2=127.0.0.1:8011".
+func parseSeeds(text string) (map[place.Instance]string, error) {
+	seeds := map[place.Instance]string{}
+	if text == "" {
+		return seeds, nil
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		name, address, _ := strings.Cut(part, "=")
+		if err := place.CheckName("peer-seeds: instance", name); err != nil {
+			return nil, err
+		}
+		if err := CheckAddress("peer-seeds", address); err != nil {
+			return nil, err
+		}
+		seeds[place.Instance(name)] = address
+	}
+	return seeds, nil
+}
+
 func usage(err error) error { return errors.Mark(err, ErrUsage) }
 
 // Instance returns the name of the instance.
@@ -124,6 +149,12 @@
 // PlatformAddress returns the address of the platform's store.
 func (e *Entry) PlatformAddress() string { return e.platformAddress }
 
+// Seeds returns the addresses of the peers to ask while the platform is down.
+func (e *Entry) Seeds() map[place.Instance]string {
+	seeds, _ := parseSeeds(e.peerSeeds)
+	return seeds
+}
+
 // LogLevel returns the lowest level that is logged.
 func (e *Entry) LogLevel() string { return e.logLevel }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -123,6 +123,7 @@
 var makers = []func(Kind) Message{
 	newCore,
 	newSettings,
+	newRoster,
 }
 
 func newCore(k Kind) Message {
