--- a/config/envelope.go
+++ b/config/envelope.go
@@ -107,3 +107,10 @@
 		author: form.Author, changeID: form.ChangeID, recent: form.RecentChanges, writtenAt: form.WrittenAt, body: form.Body,
 	}, nil
 }
+
+// RecentChanges returns the last change ids, the newest last. The caller must
+// not change them.
+func (e *Envelope) RecentChanges() []string { return e.recent }
+
+// ChangeCount returns how many change ids the object keeps.
+func (e *Envelope) ChangeCount() int { return len(e.recent) }
--- a/config/field.go
+++ b/config/field.go
@@ -21,7 +21,8 @@
 	FieldHedgePercent
 	FieldRetryPercent
 	FieldAnswerBytes
-	fieldCount
+	// FieldCount is the number of numeric settings.
+	FieldCount
 )
 
 // Defaults and ranges of the numeric settings.
@@ -56,7 +57,7 @@
 var (
 	percentSpan = span{least: 0, most: 100}
 	stepSpan    = span{least: 0.1, most: 100}
-	fieldSpecs  = [fieldCount]fieldSpec{
+	fieldSpecs  = [FieldCount]fieldSpec{
 		FieldDeadline:     {"deadline_ms", span{1, DeadlineMillisMax, true}, float64(DefaultDeadline / time.Millisecond), false},
 		FieldSlots:        {"slots", span{1, SlotsMax, true}, DefaultSlots, true},
 		FieldConnections:  {"connections", span{1, ConnectionsMax, true}, DefaultConnections, true},
@@ -73,8 +74,8 @@
 
 // values are the numeric settings that one place of the tree gives.
 type values struct {
-	given [fieldCount]bool
-	value [fieldCount]float64
+	given [FieldCount]bool
+	value [FieldCount]float64
 }
 
 func (v *values) set(field Field, value float64) {
--- a/config/policy.go
+++ b/config/policy.go
@@ -6,6 +6,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -78,9 +80,9 @@
 // made.
 type Policy struct {
 	region        place.Region
-	values        [fieldCount]Value
+	values        [FieldCount]Value
 	byTarget      map[place.Target]values
-	byRegion      map[place.Region][fieldCount]Value
+	byRegion      map[place.Region][FieldCount]Value
 	nonIdempotent []Rule
 	refused       []Refused
 	diversions    []Diversion
@@ -116,6 +118,26 @@
 	return p.leaving[target] || p.leavingZones[zone]
 }
 
+// LeavingNames returns the targets and availability zones that the operators
+// declared to be leaving, in order.
+func (p *Policy) LeavingNames() []string {
+	names := make([]string, 0, len(p.leaving)+len(p.leavingZones))
+	for target := range p.leaving {
+		names = append(names, string(target))
+	}
+	for zone := range p.leavingZones {
+		names = append(names, string(zone))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// RegionsNamed returns the regions that have values of their own, in order.
+func (p *Policy) RegionsNamed() []place.Region {
+	regions := slices.Sorted(maps.Keys(p.byRegion))
+	return slices.DeleteFunc(regions, func(region place.Region) bool { return region == "" })
+}
+
 // Allotment returns the percentage of the service's arrivals that an
 // availability zone may divert for home entries which are gone, 0 to 100.
 func (p *Policy) Allotment(zone place.Zone) float64 { return p.allotments[zone] }
--- a/config/tree.go
+++ b/config/tree.go
@@ -87,7 +87,7 @@
 		region:        region,
 		values:        resolveAll(team, service, teamOrigin, serviceOrigin, region),
 		byTarget:      service.targets,
-		byRegion:      map[place.Region][fieldCount]Value{},
+		byRegion:      map[place.Region][FieldCount]Value{},
 		nonIdempotent: service.nonIdempotent,
 		refused:       service.refused,
 		leaving:       service.leaving,
@@ -107,13 +107,13 @@
 	return policy
 }
 
-func resolveAll(team, service *body, teamOrigin, serviceOrigin Origin, region place.Region) [fieldCount]Value {
+func resolveAll(team, service *body, teamOrigin, serviceOrigin Origin, region place.Region) [FieldCount]Value {
 	layers := regionLayer(service, region, serviceOrigin)
 	layers = append(layers, layer{values: &service.values, origin: serviceOrigin})
 	layers = append(layers, regionLayer(team, region, teamOrigin)...)
 	layers = append(layers, layer{values: &team.values, origin: teamOrigin})
-	var resolved [fieldCount]Value
-	for field := range fieldCount {
+	var resolved [FieldCount]Value
+	for field := range FieldCount {
 		resolved[field] = resolve(field, layers)
 	}
 	return resolved
--- /dev/null
+++ b/manage/drain.go
@@ -0,0 +1,173 @@
+package manage
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/place"
+)
+
+// drainAttempts is how often a drain is tried when other changes come first. A
+// drain adds or removes one entry, so it is right after any of them.
+const drainAttempts = 4
+
+// Names of the fields that drains change.
+const (
+	fieldLeaving      = "leaving"
+	fieldLeavingZones = "leaving_zones"
+	fieldDiversions   = "diversions"
+)
+
+// Drain says what to drain of a service: one of a target, an availability
+// zone and a region.
+type Drain struct {
+	// Service is the service, as team/service.
+	Service place.Service
+	// Target leaves: it receives no new requests, and those in flight end.
+	Target place.Target
+	// Zone leaves with all targets of the service in it.
+	Zone place.Zone
+	// Region is relieved by diverting a share of its arrivals To another one,
+	// in steps of the team's step_percent.
+	Region place.Region
+	To     place.Region
+	// Percent is the share to divert. Zero stands for all that cap_percent
+	// still allows.
+	Percent float64
+	// Undo takes the drain back.
+	Undo bool
+}
+
+func (d Drain) check() error {
+	if _, err := place.ParseService(string(d.Service)); err != nil {
+		return err
+	}
+	given := 0
+	for _, set := range []bool{d.Target != "", d.Zone != "", d.Region != ""} {
+		if set {
+			given++
+		}
+	}
+	switch {
+	case given != 1:
+		return errors.Newf("%d of target, zone and region are given; want exactly one", given)
+	case d.Region != "" && d.To == "" && !d.Undo:
+		return errors.New("to: no region is given; want the one that receives the arrivals")
+	case d.Percent < 0 || d.Percent > 100:
+		return errors.Newf("percent: %g is given; want 0 to 100", d.Percent)
+	}
+	return nil
+}
+
+// Drain starts a drain, or takes it back, and prints the report. A command
+// `drain --service TEAM/SERVICE (--target T | --zone R/Z | --region R --to R
+// [--percent P]) [--undo]`.
+func (o *Operator) Drain(ctx context.Context, d Drain) (Report, error) {
+	if err := d.check(); err != nil {
+		return Report{}, err
+	}
+	var report Report
+	for range drainAttempts {
+		var err error
+		report, err = o.drainOnce(ctx, d)
+		if err != nil {
+			return report, err
+		}
+		if report.outcome != OutcomeConflict {
+			break
+		}
+	}
+	return o.tell(report)
+}
+
+func (o *Operator) drainOnce(ctx context.Context, d Drain) (Report, error) {
+	path := config.ServicePath(d.Service)
+	capLeft := 0.0
+	if d.Region != "" && !d.Undo && d.Percent == 0 {
+		left, err := o.capLeft(ctx, d)
+		if err != nil {
+			return Report{}, err
+		}
+		capLeft = left
+	}
+	return o.edit(ctx, path, func(fields map[string]any) error {
+		switch {
+		case d.Target != "":
+			return setMember(fields, fieldLeaving, string(d.Target), d.Undo)
+		case d.Zone != "":
+			return setMember(fields, fieldLeavingZones, string(d.Zone), d.Undo)
+		}
+		return setDiversion(fields, d, capLeft)
+	})
+}
+
+// capLeft returns what the cap of the region still allows besides the
+// diversions to other regions, in percent.
+func (o *Operator) capLeft(ctx context.Context, d Drain) (float64, error) {
+	tables, err := o.load(ctx)
+	if err != nil {
+		return 0, errors.Wrap(err, "nothing was written")
+	}
+	policy, found := tables.Policy(d.Service)
+	if !found {
+		return 0, errors.Newf("%s: the service has no settings", config.ServicePath(d.Service))
+	}
+	left := policy.CapPercentOf(d.Region)
+	for _, diversion := range policy.Diversions() {
+		if diversion.From() == d.Region && diversion.To() != d.To {
+			left -= diversion.Percent()
+		}
+	}
+	if left <= 0 {
+		return 0, errors.Newf("cap_percent allows no more diversion from %s: %g percent are allowed; raise it with `policy edit`", d.Region, policy.CapPercentOf(d.Region))
+	}
+	return left, nil
+}
+
+// setMember adds a name to a list of the settings, or removes it.
+func setMember(fields map[string]any, list, name string, remove bool) error {
+	names, isList := fields[list].([]any)
+	if fields[list] != nil && !isList {
+		return errors.Newf("%s: it is no list", list)
+	}
+	names = slices.DeleteFunc(names, func(member any) bool { return member == name })
+	if !remove {
+		names = append(names, name)
+	}
+	setList(fields, list, names)
+	return nil
+}
+
+// setDiversion replaces the diversion between the two regions, or removes the
+// diversions from the region.
+func setDiversion(fields map[string]any, d Drain, capLeft float64) error {
+	diversions, isList := fields[fieldDiversions].([]any)
+	if fields[fieldDiversions] != nil && !isList {
+		return errors.Newf("%s: it is no list", fieldDiversions)
+	}
+	diversions = slices.DeleteFunc(diversions, func(member any) bool {
+		diversion, _ := member.(map[string]any)
+		return diversion["from"] == string(d.Region) && (d.To == "" || diversion["to"] == string(d.To))
+	})
+	if !d.Undo {
+		percent := d.Percent
+		if percent == 0 {
+			percent = capLeft
+		}
+		diversions = append(diversions, map[string]any{"from": string(d.Region), "to": string(d.To), "percent": percent})
+	}
+	setList(fields, fieldDiversions, diversions)
+	return nil
+}
+
+// setList leaves no empty list behind.
+func setList(fields map[string]any, name string, list []any) {
+	if len(list) == 0 {
+		delete(fields, name)
+		return
+	}
+	fields[name] = list
+}
--- /dev/null
+++ b/manage/status.go
@@ -0,0 +1,192 @@
+package manage
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/store"
+)
+
+const (
+	// StatusTimeout bounds the reading of one instance's state.
+	StatusTimeout = 3 * time.Second
+	// dumpBytesMax bounds what is read of one instance's state.
+	dumpBytesMax = 64 << 20
+)
+
+// instanceState is what the status shows of one instance.
+type instanceState struct {
+	address string
+	err     error
+
+	Instance place.Instance `json:"instance"`
+	Zone     place.Zone     `json:"zone"`
+	Settings *relay.Dump    `json:"settings"`
+}
+
+// Status prints which version of each object is in force in how many
+// instances, how old the knowledge of each instance is, and what was refused.
+// addresses are the operators' ports of the instances, as IP:port. It returns
+// an error if an instance can't be read or is behind. A command `status
+// --operator-address IP:port,IP:port,...`; it wants the dump to hold
+// relay.Dump under the name "settings".
+func (o *Operator) Status(ctx context.Context, addresses []string) error {
+	states := iter.Map(addresses, func(address *string) instanceState { return readState(ctx, *address) })
+	newest := map[string]store.Object{}
+	listing, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	objects, _, storeErr := o.store.List(listing, "")
+	for _, object := range objects {
+		newest[object.Path()] = object
+	}
+	out := tabwriter.NewWriter(o.out, 0, 0, tabPadding, ' ', 0)
+	if storeErr != nil {
+		_, _ = fmt.Fprintf(out, "The store can't be read: %v\nThe newest versions are those that the instances know.\n", storeErr)
+		newest = newestKnown(states)
+	}
+	behind := printInstances(out, states, newest)
+	printObjects(out, states, newest)
+	if err := out.Flush(); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	if behind > 0 {
+		return errors.Newf("%d of %d instances can't be read or are behind", behind, len(states))
+	}
+	return nil
+}
+
+func readState(ctx context.Context, address string) instanceState {
+	state := instanceState{address: address}
+	ctx, cancel := context.WithTimeout(ctx, StatusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dump", http.NoBody)
+	if err != nil {
+		state.err = err
+		return state
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		state.err = err
+		return state
+	}
+	defer func() { _ = response.Body.Close() }()
+	state.err = json.NewDecoder(io.LimitReader(response.Body, dumpBytesMax)).Decode(&state)
+	if state.err == nil && state.Settings == nil {
+		state.err = errors.New("the dump holds no settings")
+	}
+	return state
+}
+
+func newestKnown(states []instanceState) map[string]store.Object {
+	newest := map[string]store.Object{}
+	for _, s := range states {
+		if s.err != nil {
+			continue
+		}
+		for _, object := range s.Settings.Objects {
+			version := max(object.Version, object.RefusedVersion)
+			if version > newest[object.Path].Version() {
+				newest[object.Path] = store.NewObject(object.Path, version, nil, object.Deleted)
+			}
+		}
+	}
+	return newest
+}
+
+// printInstances prints a line for each instance and returns how many can't be
+// read or lack a newest version.
+func printInstances(out *tabwriter.Writer, states []instanceState, newest map[string]store.Object) int {
+	behind := 0
+	_, _ = fmt.Fprintf(out, "INSTANCE\tZONE\tREADY\tRELAY\tNEWEST VERSION\tCONFIRMED\tLACKS\n")
+	for _, s := range states {
+		if s.err != nil {
+			behind++
+			_, _ = fmt.Fprintf(out, "%s\tcan't be read: %v\n", s.address, s.err)
+			continue
+		}
+		lacks := lacking(s, newest)
+		if len(lacks) > 0 {
+			behind++
+		}
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%t\t%t\t%d\t%s\t%s\n", s.Instance, s.Zone, s.Settings.Ready, s.Settings.Relay,
+			s.Settings.Highest, age(s.Settings.ConfirmedAgeMillis), strings.Join(lacks, " "))
+	}
+	return behind
+}
+
+func lacking(s instanceState, newest map[string]store.Object) []string {
+	held := map[string]uint64{}
+	for _, object := range s.Settings.Objects {
+		held[object.Path] = max(object.Version, object.RefusedVersion)
+	}
+	var lacks []string
+	for _, path := range sortedKeys(newest) {
+		if held[path] < newest[path].Version() {
+			lacks = append(lacks, path)
+		}
+	}
+	return lacks
+}
+
+// age says how long ago the store confirmed the settings of an instance.
+func age(millis int64) string {
+	if millis < 0 {
+		return "never"
+	}
+	return (time.Duration(millis) * time.Millisecond).Round(100*time.Millisecond).String() + " ago"
+}
+
+// printObjects prints, for each object, which versions are in force where.
+func printObjects(out *tabwriter.Writer, states []instanceState, newest map[string]store.Object) {
+	_, _ = fmt.Fprintf(out, "\nOBJECT\tNEWEST VERSION\tIN FORCE\n")
+	for _, path := range sortedKeys(newest) {
+		inForce := map[uint64]int{}
+		problem := ""
+		for _, s := range states {
+			if s.err != nil {
+				continue
+			}
+			object := objectIn(s, path)
+			inForce[object.Version]++
+			if object.Problem != "" {
+				problem = fmt.Sprintf("refused by %s: %s", s.Instance, object.Problem)
+			}
+		}
+		_, _ = fmt.Fprintf(out, "%s\t%d\t%s\n", path, newest[path].Version(), versionsText(inForce))
+		if problem != "" {
+			_, _ = fmt.Fprintf(out, "%s\n", problem)
+		}
+	}
+}
+
+func objectIn(s instanceState, path string) relay.DumpObject {
+	for _, object := range s.Settings.Objects {
+		if object.Path == path {
+			return object
+		}
+	}
+	return relay.DumpObject{Path: path}
+}
+
+func versionsText(inForce map[uint64]int) string {
+	parts := make([]string, 0, len(inForce))
+	for _, version := range sortedKeys(inForce) {
+		name := fmt.Sprintf("version %d", version)
+		if version == 0 {
+			name = "none"
+		}
+		parts = append(parts, fmt.Sprintf("%s in %d", name, inForce[version]))
+	}
+	return strings.Join(parts, ", ")
+}
