Decide in package ticket which non-idempotent requests may run

Cause: a repeat of a purchase or a loan placement must not run twice, and 'not run' must stay true when the home of a key dies. Conclusion: home and witness each compare times of their own clock only.

--- /dev/null
+++ b/ticket/key.go
@@ -0,0 +1,234 @@
+// Package ticket decides which non-idempotent requests may run. It is pure:
+// it does no input or output, and the time is passed in.
+//
+// Each request carries a key that names its home and its witness, two entry
+// processes. The home keeps a Ledger: it hands each key on to a target at most
+// once, and only after the witness has acknowledged the key. The witness keeps
+// Records: once the home is gone, it seals keys that were not recorded, so that
+// "not run" stays true, and tells what it knows of those that were.
+//
+// Every rule compares times of one process's clock only. Clocks that differ
+// between processes make keys expire early or late, but never make one run
+// twice.
+package ticket
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+// KeyBytesMax is the longest text of a key that is accepted, in bytes.
+const KeyBytesMax = 512
+
+const (
+	prefixVersion = 1
+	checksumBytes = 4
+	wordBytes     = 8
+	numberSplit   = "."
+)
+
+// ID names one process: an instance and the incarnation that tells it from
+// earlier and later processes of the same name.
+type ID struct {
+	instance    place.Instance
+	incarnation uint64
+}
+
+// NewID joins the name of an instance and its incarnation.
+func NewID(instance place.Instance, incarnation uint64) ID {
+	return ID{instance: instance, incarnation: incarnation}
+}
+
+// Instance returns the name of the instance.
+func (i ID) Instance() place.Instance { return i.instance }
+
+// Incarnation returns the number that is new each time the process starts.
+func (i ID) Incarnation() uint64 { return i.incarnation }
+
+// Prefix is what a look-up gives to a caller, who makes keys by appending
+// numbers to it.
+type Prefix struct {
+	home    ID
+	witness ID
+	zone    place.Zone
+	expires int64
+	nonce   uint64
+}
+
+// Home returns the process that alone may hand on the requests.
+func (p Prefix) Home() ID { return p.home }
+
+// Witness returns the process that records the keys.
+func (p Prefix) Witness() ID { return p.witness }
+
+// WitnessZone returns the availability zone of the witness.
+func (p Prefix) WitnessZone() place.Zone { return p.zone }
+
+// Expires returns when keys of the prefix stop being accepted, by the clock of
+// the process that looks at it.
+func (p Prefix) Expires() time.Time { return time.UnixMilli(p.expires) }
+
+// Key returns the key with the given number. Numbers begin at 1.
+func (p Prefix) Key(number uint64) Key { return Key{prefix: p, number: number} }
+
+// String returns the URL-safe text of the prefix. It ends in a checksum.
+func (p Prefix) String() string {
+	return base64.RawURLEncoding.EncodeToString(p.append(nil))
+}
+
+func (p Prefix) append(out []byte) []byte {
+	out = append(out, prefixVersion)
+	out = appendID(out, p.home)
+	out = appendID(out, p.witness)
+	out = appendText(out, string(p.zone))
+	out = binary.BigEndian.AppendUint64(out, uint64(p.expires))
+	out = binary.BigEndian.AppendUint64(out, p.nonce)
+	return binary.BigEndian.AppendUint32(out, uint32(xxhash.Sum64(out)))
+}
+
+func appendID(out []byte, id ID) []byte {
+	out = appendText(out, string(id.instance))
+	return binary.BigEndian.AppendUint64(out, id.incarnation)
+}
+
+func appendText(out []byte, text string) []byte {
+	out = append(out, byte(len(text)))
+	return append(out, text...)
+}
+
+// Key is the idempotency key of one request.
+type Key struct {
+	prefix Prefix
+	number uint64
+}
+
+// Prefix returns the prefix that the key was made from.
+func (k Key) Prefix() Prefix { return k.prefix }
+
+// Number returns the number that the caller appended.
+func (k Key) Number() uint64 { return k.number }
+
+// String returns the text of the key, such as "AQNh...x.7".
+func (k Key) String() string {
+	return k.prefix.String() + numberSplit + strconv.FormatUint(k.number, 10)
+}
+
+func (k Key) serial() serial {
+	return serial{nonce: k.prefix.nonce, number: k.number}
+}
+
+// serial tells apart the keys of one home.
+type serial struct {
+	nonce  uint64
+	number uint64
+}
+
+// ParseKey reads the text of a key. It accepts exactly the texts that String
+// writes; the error says what is wrong with any other.
+func ParseKey(text string) (Key, error) {
+	if len(text) > KeyBytesMax {
+		return Key{}, errors.Newf("key of %d bytes: at most %d are allowed", len(text), KeyBytesMax)
+	}
+	head, tail, found := strings.Cut(text, numberSplit)
+	if !found {
+		return Key{}, errors.Newf("key %q: want the key prefix of a look-up, a dot and a number", text)
+	}
+	number, err := strconv.ParseUint(tail, 10, 64)
+	if err != nil || number == 0 || strconv.FormatUint(number, 10) != tail {
+		return Key{}, errors.Newf("key number %q: want a whole number from 1 without leading zeros", tail)
+	}
+	prefix, err := ParsePrefix(head)
+	if err != nil {
+		return Key{}, err
+	}
+	return prefix.Key(number), nil
+}
+
+// ParsePrefix reads the text of a key prefix.
+func ParsePrefix(text string) (Prefix, error) {
+	packed, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return Prefix{}, errors.Wrapf(err, "key prefix %q: want the text of a look-up", text)
+	}
+	if len(packed) < checksumBytes {
+		return Prefix{}, errors.Newf("key prefix %q: it is cut off", text)
+	}
+	body, sum := packed[:len(packed)-checksumBytes], packed[len(packed)-checksumBytes:]
+	if binary.BigEndian.Uint32(sum) != uint32(xxhash.Sum64(body)) {
+		return Prefix{}, errors.Newf("key prefix %q: the checksum does not match", text)
+	}
+	p, err := readPrefix(&reader{rest: body})
+	if err != nil {
+		return Prefix{}, errors.Wrapf(err, "key prefix %q", text)
+	}
+	if p.String() != text {
+		return Prefix{}, errors.Newf("key prefix %q: it is not in the form that a look-up gives", text)
+	}
+	return p, nil
+}
+
+func readPrefix(r *reader) (Prefix, error) {
+	if version := r.bytes(1); len(version) == 1 && version[0] != prefixVersion {
+		return Prefix{}, errors.Newf("version %d; want %d", version[0], prefixVersion)
+	}
+	p := Prefix{home: r.id(), witness: r.id(), zone: place.Zone(r.text()), expires: int64(r.word()), nonce: r.word()}
+	if r.short || len(r.rest) > 0 {
+		return Prefix{}, errors.New("its length is wrong")
+	}
+	if p.expires < 0 {
+		return Prefix{}, errors.New("its expiry lies before 1970")
+	}
+	if err := place.CheckName("home", string(p.home.instance)); err != nil {
+		return Prefix{}, err
+	}
+	if err := place.CheckName("witness", string(p.witness.instance)); err != nil {
+		return Prefix{}, err
+	}
+	_, err := place.ParseZone(string(p.zone))
+	return p, err
+}
+
+// reader takes fields off the front of bytes. Once they run out, short is set
+// and every further field is empty.
+type reader struct {
+	rest  []byte
+	short bool
+}
+
+func (r *reader) bytes(count int) []byte {
+	if r.short || len(r.rest) < count {
+		r.short = true
+		return nil
+	}
+	taken := r.rest[:count]
+	r.rest = r.rest[count:]
+	return taken
+}
+
+func (r *reader) word() uint64 {
+	taken := r.bytes(wordBytes)
+	if r.short {
+		return 0
+	}
+	return binary.BigEndian.Uint64(taken)
+}
+
+func (r *reader) text() string {
+	length := r.bytes(1)
+	if r.short {
+		return ""
+	}
+	return string(r.bytes(int(length[0])))
+}
+
+func (r *reader) id() ID {
+	return ID{instance: place.Instance(r.text()), incarnation: r.word()}
+}
