Choose a target by its expected time, and spend the budgets in one place

Cause: a slow target, a target that is gone and a target that leaves by its own word got requests as any other. Ruled out: counting a failed dial against the budget of retries: with half of the targets gone 10 % would not do, and a dial that failed puts no load on a target; leaving targets alone for every failure, which empties a zone. After: go test -race -count=2 ./budget ./target passes.

--- /dev/null
+++ b/budget/spend_test.go
@@ -0,0 +1,94 @@
+package budget_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/budget"
+	"github.com/endivechute/endivechute/errs"
+)
+
+// TestRun: candidates are numbered and picked in turn; errors says how each
+// ends, nil is an answer.
+func TestRun(t *testing.T) {
+	unreachable := errs.NotRun(errs.ReasonTargetError, 0, "cannot connect")
+	busy := errs.NotRun(errs.ReasonTargetBusy, 0, "busy")
+	gone := errs.MayHaveRun(errs.ReasonTargetError, "closed")
+	late := errs.MayHaveRun(errs.ReasonDeadline, "late")
+	tests := map[string]struct {
+		errors     []error
+		idempotent bool
+		percent    float64
+		sent       int
+		verdict    errs.Verdict
+	}{
+		"answer":                          {[]error{nil}, false, 10, 1, errs.VerdictRan},
+		"no candidate":                    {nil, true, 10, 0, errs.VerdictNotRun},
+		"unreachable costs no budget":     {[]error{unreachable, unreachable, nil}, false, 0, 3, errs.VerdictRan},
+		"busy costs budget":               {[]error{busy, nil}, false, 10, 2, errs.VerdictRan},
+		"busy without budget":             {[]error{busy, nil}, true, 0, 1, errs.VerdictNotRun},
+		"unknown fate, idempotent":        {[]error{gone, nil}, true, 10, 2, errs.VerdictRan},
+		"unknown fate, non-idempotent":    {[]error{gone, nil}, false, 10, 1, errs.VerdictMayHaveRun},
+		"unknown fate stays":              {[]error{gone, busy, unreachable, busy}, true, 10, 4, errs.VerdictMayHaveRun},
+		"never more than the tries":       {[]error{busy, busy, busy, busy, nil}, true, 10, 4, errs.VerdictNotRun},
+		"after the deadline no more":      {[]error{late, nil}, true, 10, 1, errs.VerdictMayHaveRun},
+		"refused first, unknown at last":  {[]error{busy, gone, nil}, false, 10, 2, errs.VerdictMayHaveRun},
+		"refused by all that can be used": {[]error{busy, busy}, true, 10, 2, errs.VerdictNotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var group conc.WaitGroup
+			defer group.Wait()
+			sent := 0
+			value, err := budget.Run(t.Context(), budget.NewService(test.percent, 5, time.Now()), &group, test.idempotent, budget.Route[int, string]{
+				Pick: func(tried []int) (int, bool) { return len(tried), len(tried) < len(test.errors) },
+				Send: func(_ context.Context, candidate int) (string, error) {
+					sent++
+					return "answer", test.errors[candidate]
+				},
+			})
+			got := errs.VerdictRan
+			if err != nil {
+				got = errs.VerdictOf(err)
+			}
+			if got != test.verdict || (err == nil && value != "answer") || sent != test.sent {
+				t.Errorf("verdict %v after %d sent (%v), want %v after %d", got, sent, err, test.verdict, test.sent)
+			}
+		})
+	}
+}
+
+// TestRunHedges: once the latency is known, a request that hangs at one target
+// is answered by another, and the first is canceled.
+func TestRunHedges(t *testing.T) {
+	service := budget.NewService(0, 5, time.Now())
+	var group conc.WaitGroup
+	defer group.Wait()
+	hang := false
+	canceled := make(chan struct{})
+	route := budget.Route[int, int]{
+		Pick: func(tried []int) (int, bool) { return len(tried), len(tried) < 2 },
+		Send: func(ctx context.Context, candidate int) (int, error) {
+			if hang && candidate == 0 {
+				<-ctx.Done()
+				close(canceled)
+				return 0, errs.MayHaveRun(errs.ReasonCanceled, "canceled")
+			}
+			return candidate, nil
+		},
+	}
+	for range budget.LatencySamplesMin {
+		if _, err := budget.Run(t.Context(), service, &group, true, route); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hang = true
+	got, err := budget.Run(t.Context(), service, &group, true, route)
+	if err != nil || got != 1 || service.Hedged() < 1 || service.Retried() != 0 {
+		t.Errorf("got %d, %v; hedged %d, retried %d", got, err, service.Hedged(), service.Retried())
+	}
+	<-canceled
+}
--- a/target/client.go
+++ b/target/client.go
@@ -35,6 +35,8 @@
 	address  string
 	host     *fasthttp.HostClient
 	inFlight atomic.Int64
+	observed observed
+	report   atomic.Pointer[Report]
 }
 
 // New makes a Client of the target that listens on the address. At most
@@ -88,6 +90,17 @@
 	}
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
+	began := time.Now()
+	answer, err := c.do(ctx, r)
+	if now := time.Now(); err != nil {
+		c.observed.failed(now, err, now.Sub(began))
+	} else {
+		c.observed.answered(now, now.Sub(began))
+	}
+	return answer, err
+}
+
+func (c *Client) do(ctx context.Context, r Request) (Answer, error) {
 	deadline := c.deadline(ctx, r)
 	wait := time.Until(deadline)
 	if wait <= 0 {
--- a/target/report.go
+++ b/target/report.go
@@ -49,7 +49,7 @@
 func (c *Client) Report(ctx context.Context) (Report, error) {
 	asked := time.Now()
 	request := NewRequest("GET", "/load", time.Time{}).WithAnswerBytesMax(reportBytesMax)
-	answer, err := c.Do(ctx, request)
+	answer, err := c.do(ctx, request)
 	if err != nil {
 		return Report{}, err
 	}
