--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/roster"
+	"github.com/endivechute/endivechute/store"
+)
+
+// Run follows the settings, the list of instances and the peers until ctx
+// ends.
+func (e *Entry) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	tasks.Go(func() { e.roster.Run(ctx) })
+	tasks.Go(func() { e.relay.Run(ctx) })
+	tasks.Go(func() { e.heart.Run(ctx) })
+	tasks.Wait()
+}
+
+// takeRoster makes a new list of instances known to the process. The seeds
+// stay known as long as the list is empty.
+func (e *Entry) takeRoster(list store.Roster) {
+	addresses := map[place.Instance]string{}
+	if len(list.Entries) == 0 {
+		addresses = maps.Clone(e.seeds)
+	}
+	for _, listed := range list.Entries {
+		if listed.Instance != e.self.Instance {
+			addresses[listed.Instance] = listed.PeerAddress
+		}
+	}
+	e.pool.SetAddresses(addresses)
+	e.heart.SetPeers(slices.Sorted(maps.Keys(addresses)))
+	var before view
+	if held := e.view.Load(); held != nil {
+		before = *held
+	}
+	e.view.Store(before.withRoster(list, e.self.Zone, e.relay.Tables()))
+}
+
+// live returns the members of an availability zone that can be reached and
+// don't leave, this process among them.
+func (e *Entry) live(zone place.Zone) []place.Instance {
+	now := e.now()
+	var members []place.Instance
+	if zone == e.self.Zone && !e.leaving.Load() {
+		members = append(members, e.self.Instance)
+	}
+	for _, listed := range e.view.Load().zoneEntries[zone] {
+		health := e.heart.Health(listed.Instance)
+		if listed.Instance != e.self.Instance && health.Reachable(now) && !health.Leaving() {
+			members = append(members, listed.Instance)
+		}
+	}
+	slices.Sort(members)
+	return members
+}
+
+// relayView tells the relay which processes live.
+func (e *Entry) relayView() relay.View {
+	others := map[place.Zone][]place.Instance{}
+	for zone := range e.view.Load().zoneEntries {
+		if zone == e.self.Zone {
+			continue
+		}
+		if members := e.live(zone); len(members) > 0 {
+			others[zone] = members
+		}
+	}
+	if len(others) == 0 && e.roster.Table() == nil {
+		others[""] = slices.Sorted(maps.Keys(e.seeds))
+	}
+	return relay.NewView(e.live(e.self.Zone), others)
+}
+
+// rosterSources tells where the list of instances is to be read: the zone's
+// relays read the platform, and the others ask one of these.
+func (e *Entry) rosterSources() roster.Sources {
+	members := e.live(e.self.Zone)
+	relays := relay.Relays(members)
+	near := slices.DeleteFunc(slices.Clone(relays), func(i place.Instance) bool { return i == e.self.Instance })
+	var far []place.Instance
+	for zone := range e.view.Load().zoneEntries {
+		if zone != e.self.Zone {
+			far = append(far, e.live(zone)...)
+		}
+	}
+	if e.roster.Table() == nil {
+		far = slices.Sorted(maps.Keys(e.seeds))
+	}
+	return roster.NewSources(slices.Contains(relays, e.self.Instance), near, far)
+}
+
+// pause waits and tells whether ctx still goes on.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
