--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -236,6 +236,7 @@
 	for i, want := range []float64{20, 30, 40, 50, 50} {
 		now := time.Hour + time.Duration(i)*shift.StepInterval
 		f.Learn(shift.NewPlan(7, at(50)), step, now, now)
+		f.Learn(shift.NewPlan(6, at(40)), step, now, now)
 		if got := f.InForce(now)[way]; got != shift.ShareOf(want) {
 			t.Errorf("after %d intervals %v %% are in force, want %v", i, got.Percent(), want)
 		}
