Hold the slot of a request that was given up

Cause: a request that was sent and given up may still run at the target; a slot given back at once would let one too many in. Ruled out: counting it as ended when the connection closes (targets cancel only work that has not begun). Before: TestLedgerInherited had no such case. After: its case "a request that was given up holds its slot" passes; go test ./keeper passes.

--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -223,6 +223,14 @@
 	}
 }
 
+// Unsure tells whether slots are counted for work of an earlier keeper, so that
+// reports are worth asking for.
+func (g *Gate) Unsure() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settle(g.clock()) && g.ledger.unsure(g.clock())
+}
+
 // SetLeaving tells whether the target is leaving.
 func (g *Gate) SetLeaving(leaving bool) {
 	g.mu.Lock()
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -214,21 +214,22 @@
 }
 
 // Keeper returns the entry that this one takes for the keeper of the resource:
-// who has its lease, or the first elector. It is empty if there is none.
-func (l *Leases) Keeper(resource Resource, now time.Duration) place.Instance {
+// who has its lease, and otherwise, with known false, the first elector. It is
+// empty if there is none.
+func (l *Leases) Keeper(resource Resource, now time.Duration) (name place.Instance, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.seats[resource]
 	if s == nil || len(s.electors) == 0 {
-		return ""
+		return "", false
 	}
 	if s.hold.Held(now) {
-		return l.self
+		return l.self, true
 	}
 	if s.given.until > now && s.given.holder != l.self && slices.Contains(l.members, s.given.holder) {
-		return s.given.holder
+		return s.given.holder, true
 	}
-	return s.electors[0]
+	return s.electors[0], false
 }
 
 // Tick returns the beats that are due. It has to be called every BeatInterval.
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -38,6 +38,9 @@
 	OutcomeFailed
 	// OutcomeUnused: the slot was given back before the request was sent.
 	OutcomeUnused
+	// OutcomeUnknown: the request was sent and given up; the target may still
+	// run it, so that its slot stays counted as inherited work is.
+	OutcomeUnknown
 )
 
 // Limits are what a target allows at once.
@@ -230,6 +233,9 @@
 	return capacity
 }
 
+// unsure tells whether slots are counted for work that isn't this keeper's.
+func (l *Ledger) unsure(now time.Duration) bool { return l.busy(now) > len(l.running) }
+
 // busy returns how many requests are counted as being at the target.
 func (l *Ledger) busy(now time.Duration) int {
 	count := len(l.running)
@@ -309,6 +315,11 @@
 		l.shedAt = now
 	case OutcomeFailed:
 		l.failures++
+	case OutcomeUnknown:
+		l.failures++
+		l.reports = nil
+		l.handover = 0
+		l.inherited = append(l.inherited, began+l.limits.longest)
 	case OutcomeUnused:
 	}
 }
--- a/keeper/rules_test.go
+++ b/keeper/rules_test.go
@@ -168,6 +168,11 @@
 		"a handover is exact":            {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second, second}, 0) }, 2},
 		"its ends are told":              {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second}, 0); l.InheritedDone(5) }, 4},
 		"the end of another term is not": {func(l *keeper.Ledger) { l.Inherit(5, []time.Duration{second}, 0); l.InheritedDone(4) }, 3},
+		"a request that was given up holds its slot": {func(l *keeper.Ledger) {
+			l.Inherit(5, nil, 0)
+			l.Arrive(1, second, 0)
+			l.Finish(1, keeper.OutcomeUnknown, 0)
+		}, 3},
 		"nor one that a report freed": {func(l *keeper.Ledger) {
 			l.Inherit(5, []time.Duration{second, second}, 0)
 			l.Report(1)
