Send every request through the keeper of its target

Cause: entries chose targets by their own requests in flight only, so that several entries together could send a target more than its slots. Ruled out: readiness after a fixed time (a zone of one entry knows its keepers after 2 s); views of the zone by heartbeats alone (a slow peer would change the electors; only a refused connection or the platform's list does). Before: the choice of two by own requests in flight, and any region at any time. Conclusion: one hop inside the zone. A look-up is not answered before the keepers are known, about 3 to 5 s after the start of a whole zone.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	log      *logrus.Logger
 	stats    *Stats
 	once     *keptAnswers
+	limits   *limits
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -49,6 +50,7 @@
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
+	e.limits = newLimits(e)
 	e.takeRoster(store.Roster{})
 	return e
 }
@@ -56,10 +58,10 @@
 // Stats returns the metrics of the process.
 func (e *Entry) Stats() *Stats { return e.stats }
 
-// Ready tells whether the process knows the settings and the instances, so
-// that callers may be sent to it.
+// Ready tells whether the process knows the settings, the instances and who
+// keeps the targets, so that callers may be sent to it.
 func (e *Entry) Ready() bool {
-	return e.informed() && !e.leaving.Load()
+	return e.informed() && e.limits.settled() && !e.leaving.Load()
 }
 
 func (e *Entry) informed() bool {
@@ -72,11 +74,13 @@
 	case *wire.Beat:
 		return e.heart.Answer()
 	case *wire.Forward:
-		return e.handleForward(ctx, m)
+		return e.handleForward(ctx, peer, m)
 	case *wire.RosterAsk:
 		return e.roster.Handle(m)
 	case *wire.SettingsDigest, *wire.SettingsPull, *wire.Settings:
 		return e.relay.Handle(ctx, peer, m)
+	case *wire.LeaseBeat, *wire.Handover, *wire.LeftDone, *wire.KeepersAsk:
+		return e.limits.handle(ctx, peer, m)
 	}
 	return &wire.Refused{Text: "the message is not one that an entry answers"}
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,6 +21,7 @@
 	tasks.Go(func() { e.roster.Run(ctx) })
 	tasks.Go(func() { e.relay.Run(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
+	tasks.Go(func() { e.limits.run(ctx) })
 	tasks.Wait()
 }
 
--- /dev/null
+++ b/entry/lease.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/keeper"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// handle answers the messages between the keepers of a zone.
+func (l *limits) handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
+	switch m := message.(type) {
+	case *wire.LeaseBeat:
+		return l.handleBeat(ctx, peer.Instance, m)
+	case *wire.Handover:
+		if k := (*l.targets.Load())[m.Target]; k != nil {
+			left := make([]time.Duration, len(m.LeftMillis))
+			for i, millis := range m.LeftMillis {
+				left[i] = time.Duration(millis) * time.Millisecond
+			}
+			k.gate.Inherit(time.Duration(m.AskedNanos), left)
+		}
+	case *wire.LeftDone:
+		if k := (*l.targets.Load())[m.Target]; k != nil {
+			k.gate.InheritedDone(time.Duration(m.AskedNanos))
+		}
+	case *wire.KeepersAsk:
+		answer := &wire.Keepers{}
+		for name := range *l.targets.Load() {
+			if view := l.tell(name); view != nil {
+				answer.Views = append(answer.Views, *view)
+			}
+		}
+		return answer
+	}
+	return &wire.Noted{}
+}
+
+func (l *limits) handleBeat(ctx context.Context, from place.Instance, m *wire.LeaseBeat) wire.Message {
+	beat := keeper.Beat{Incarnation: m.Incarnation, Sent: time.Duration(m.SentNanos)}
+	for _, a := range m.Asks {
+		beat.Asks = append(beat.Asks, keeper.Ask{Resource: keeper.Resource(a.Resource), View: a.View, Release: a.Release})
+	}
+	ack, transfers := l.leases.HandleBeat(from, beat, l.clock())
+	var calls conc.WaitGroup
+	for _, t := range transfers {
+		calls.Go(func() { l.handOver(ctx, t) })
+	}
+	calls.Wait()
+	answer := &wire.LeaseAck{Incarnation: ack.Incarnation, SentNanos: int64(ack.Sent)}
+	for _, r := range ack.Granted {
+		answer.Granted = append(answer.Granted, string(r))
+	}
+	return answer
+}
+
+// handOver sends the ledger of a target to its next keeper.
+func (l *limits) handOver(ctx context.Context, t keeper.Transfer) {
+	for name, k := range *l.targets.Load() {
+		if k.resource != t.Resource {
+			continue
+		}
+		k.mu.Lock()
+		left := k.gate.Release()
+		for pass := range k.passes {
+			k.handed[pass] = handover{to: t.To, asked: t.Asked}
+		}
+		k.mu.Unlock()
+		message := &wire.Handover{Target: name, AskedNanos: int64(t.Asked)}
+		for _, d := range left {
+			message.LeftMillis = append(message.LeftMillis, d.Milliseconds()+1)
+		}
+		l.takeKeeper(k)
+		l.note(ctx, t.To, message)
+	}
+}
+
+// note sends a message that needs no answer. If it is lost, the next keeper
+// counts the work until its longest time has passed.
+func (l *limits) note(ctx context.Context, to place.Instance, message wire.Message) {
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	if _, err := l.entry.pool.Call(ctx, to, message); err != nil {
+		l.entry.log.WithError(err).WithField("instance", to).Debug("A handover was not noted.")
+	}
+}
+
+// enter waits for a slot of the target.
+func (k *kept) enter(ctx context.Context, deadline time.Duration) (*keeper.Pass, error) {
+	pass, err := k.gate.Enter(ctx, deadline)
+	if err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.passes[pass] = struct{}{}
+	return pass, nil
+}
+
+// done gives the slot back, and tells the next keeper if there is one.
+func (l *limits) done(ctx context.Context, name place.Target, k *kept, pass *keeper.Pass, outcome keeper.Outcome) {
+	k.mu.Lock()
+	pass.Done(outcome)
+	delete(k.passes, pass)
+	next, found := k.handed[pass]
+	delete(k.handed, pass)
+	k.mu.Unlock()
+	if found && outcome != keeper.OutcomeUnknown {
+		l.note(context.WithoutCancel(ctx), next.to, &wire.LeftDone{Target: name, AskedNanos: int64(next.asked)})
+	}
+}
+
+func beatToWire(b keeper.Beat) *wire.LeaseBeat {
+	m := &wire.LeaseBeat{Incarnation: b.Incarnation, SentNanos: int64(b.Sent)}
+	for _, a := range b.Asks {
+		m.Asks = append(m.Asks, wire.LeaseAsk{Resource: string(a.Resource), View: a.View, Release: a.Release})
+	}
+	return m
+}
+
+func ackFromWire(m *wire.LeaseAck) keeper.Ack {
+	ack := keeper.Ack{Incarnation: m.Incarnation, Sent: time.Duration(m.SentNanos)}
+	for _, r := range m.Granted {
+		ack.Granted = append(ack.Granted, keeper.Resource(r))
+	}
+	return ack
+}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -16,6 +16,7 @@
 func (e *Entry) Leave(ctx context.Context) {
 	e.leaving.Store(true)
 	e.heart.Leave()
+	e.limits.leave(ctx)
 	e.log.Info("The shutdown begins.")
 	if !pause(ctx, LookupTTL+2*peers.BeatInterval) {
 		return
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -34,8 +34,8 @@
 // Lookup tells a caller which entries to use for a service.
 func (e *Entry) Lookup(service place.Service) (Found, error) {
 	v := e.view.Load()
-	if !e.informed() {
-		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s has not read the settings yet", e.self.Instance)
+	if !e.informed() || !e.limits.settled() {
+		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s does not know its settings and targets yet", e.self.Instance)
 	}
 	if _, found := e.relay.Tables().Policy(service); !found {
 		return Found{}, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", service)
--- a/entry/request.go
+++ b/entry/request.go
@@ -22,6 +22,7 @@
 	key      string
 	deadline time.Time
 	hops     int
+	admitted bool // another entry of the region counts it in flight
 }
 
 // NewRequest makes a Request. The path is the one that the target gets, with
--- a/entry/route.go
+++ b/entry/route.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -13,7 +12,6 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -40,6 +38,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	e.limits.arrive(r.service, policy)
 	if policy.NonIdempotent(r.method, r.plainPath()) {
 		return e.serveOnce(ctx, v, policy, r)
 	}
@@ -63,63 +62,6 @@
 	return policy, nil
 }
 
-// route tries the availability zones in order until one ran the request or may
-// have run it.
-func (e *Entry) route(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a target of service %s", r.service)
-	for _, zone := range e.zones(v, policy, r) {
-		answer, err := e.tryZone(ctx, v, policy, r, zone)
-		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
-			return answer, err
-		}
-		last = err
-		if ctx.Err() != nil {
-			return nil, errs.NotRun(errs.ReasonDeadline, 0, "the deadline passed before a target ran the request")
-		}
-	}
-	return nil, last
-}
-
-// zones returns the availability zones with usable targets: the own one, then
-// the others of the region, then other regions. A request that has come from
-// another entry stays in this zone.
-func (e *Entry) zones(v *view, policy *config.Policy, r *Request) []place.Zone {
-	var zones []place.Zone
-	for zone := range v.targets[r.service] {
-		if r.hops > 0 && zone != e.self.Zone {
-			continue
-		}
-		if len(v.usable(r.service, policy, zone)) > 0 {
-			zones = append(zones, zone)
-		}
-	}
-	slices.SortFunc(zones, func(a, b place.Zone) int {
-		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
-	})
-	return zones
-}
-
-func (e *Entry) distance(zone place.Zone) int {
-	switch {
-	case zone == e.self.Zone:
-		return 0
-	case zone.Region() == e.self.Zone.Region():
-		return 1
-	}
-	return 2
-}
-
-func (e *Entry) tryZone(ctx context.Context, v *view, policy *config.Policy, r *Request, zone place.Zone) (*wire.Answer, error) {
-	if zone == e.self.Zone {
-		return e.tryTarget(ctx, v, policy, r)
-	}
-	entries := e.reachable(v.zoneEntries[zone])
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
-	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
-}
-
 // reachable returns the entries that can be reached and don't leave, in random
 // order.
 func (e *Entry) reachable(entries []store.Entry) []store.Entry {
@@ -132,31 +74,6 @@
 	return usable
 }
 
-// tryTarget hands the request to the less busy of two random targets.
-func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	targets := v.usable(r.service, policy, e.self.Zone)
-	if len(targets) == 0 {
-		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	}
-	first := v.clients[targets[rand.IntN(len(targets))].Target]
-	second := v.clients[targets[rand.IntN(len(targets))].Target]
-	if second.InFlight() < first.InFlight() {
-		first = second
-	}
-	headers := make([]target.Header, 0, len(r.headers))
-	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
-	}
-	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
-	answer, err := first.Do(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	whole := answerToWire(answer)
-	whole.Target = first.Name()
-	return whole, nil
-}
-
 // forward hands a request to another entry and waits for its answer.
 func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
 	answer, err := e.pool.Call(ctx, instance, message)
@@ -165,8 +82,10 @@
 	}
 	switch a := answer.(type) {
 	case *wire.Answer:
+		e.limits.learnNear(instance, a.Keeper)
 		return a, nil
 	case *wire.Refused:
+		e.limits.learnNear(instance, a.Keeper)
 		return nil, refusalFromWire(a)
 	}
 	return nil, errs.MayHaveRun(errs.ReasonPeerFailed, "instance %s gave an answer of the wrong kind", instance)
@@ -182,21 +101,26 @@
 	return errs.MayHaveRun(errs.ReasonPeerFailed, "%v", err)
 }
 
-func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) wire.Message {
+func (e *Entry) handleForward(ctx context.Context, peer wire.Hello, f *wire.Forward) wire.Message {
 	r := requestFromWire(f, e.now())
+	r.admitted = peer.Zone.Region() == e.self.Zone.Region() && f.Scope != wire.ScopeHome
 	if r.hops > HopsMax {
 		return refusalToWire(errs.NotRun(errs.ReasonPeerFailed, ComeBack, "the request was handed on %d times already", r.hops))
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	answer, err := e.serveForward(ctx, f.Scope, r)
+	answer, err := e.serveForward(ctx, f, r)
 	if err != nil {
-		return refusalToWire(err)
+		refused := refusalToWire(err)
+		refused.Keeper = e.limits.tell(f.Target)
+		return refused
 	}
-	return answer
+	told := *answer // another call may share the answer
+	told.Keeper = e.limits.tell(answer.Target)
+	return &told
 }
 
-func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
+func (e *Entry) serveForward(ctx context.Context, f *wire.Forward, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -204,8 +128,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	if scope == wire.ScopeHome {
+	switch f.Scope {
+	case wire.ScopeHome:
 		return e.serveOnce(ctx, v, policy, r)
+	case wire.ScopeTarget:
+		return e.sendKept(ctx, v, policy, r, f.Target)
+	case wire.ScopeZone:
 	}
 	return e.route(ctx, v, policy, r)
 }
--- /dev/null
+++ b/entry/steer.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/keeper"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/shift"
+	"github.com/endivechute/endivechute/steer"
+	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// keeperPause is the time until a request whose target has no keeper at the
+// moment, as after an instance was lost, is tried again.
+const keeperPause = 100 * time.Millisecond
+
+// arrive counts a caller's request for what may be diverted.
+func (l *limits) arrive(service place.Service, policy *config.Policy) {
+	m := (*l.meters.Load())[service]
+	if m == nil {
+		return
+	}
+	m.Arrive(shift.ShareOf(policy.CapPercentOf(l.entry.self.Zone.Region())), *m.wanted.Load())
+}
+
+// noCredit allows no diversion.
+type noCredit struct{}
+
+func (noCredit) Divert(place.Region) bool { return false }
+func (noCredit) Spill() bool              { return false }
+
+// credit returns what decides whether the request may leave the region. Only
+// the entry that a caller's request came to diverts it.
+func (l *limits) credit(r *Request) (steer.Credit, []place.Region) {
+	m := (*l.meters.Load())[r.service]
+	if m == nil || r.hops > 0 {
+		return noCredit{}, nil
+	}
+	wanted := *m.wanted.Load()
+	regions := make([]place.Region, 0, len(wanted))
+	for _, w := range wanted {
+		regions = append(regions, w.To())
+	}
+	return m, regions
+}
+
+// route tries the availability zones in order until one ran the request or may
+// have run it. While a keeper is being replaced it tries again.
+func (e *Entry) route(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
+	credit, regions := e.limits.credit(r)
+	zones := e.zones(v, policy, r)
+	planned := steer.Planned(credit, regions, zones)
+	for {
+		answer, err := e.routeOnce(ctx, v, policy, r, credit, planned, zones)
+		if err == nil || !e.worthAPause(r, err) || !pause(ctx, keeperPause) {
+			return answer, err
+		}
+	}
+}
+
+// worthAPause tells whether the request failed because the zone has no keeper
+// at the moment, and may be tried again.
+func (e *Entry) worthAPause(r *Request, err error) bool {
+	refusal := errs.AsRefusal(err)
+	if r.hops > 0 || refusal.Verdict() != errs.VerdictNotRun || r.deadline.Sub(e.now()) < 2*keeperPause {
+		return false
+	}
+	return refusal.Reason() == errs.ReasonLostKeeper || refusal.Reason() == errs.ReasonPeerFailed
+}
+
+func (e *Entry) routeOnce(ctx context.Context, v *view, policy *config.Policy, r *Request, credit steer.Credit, planned place.Region, zones []steer.Zone) (*wire.Answer, error) {
+	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a usable target of service %s", r.service)
+	for _, zone := range steer.Order(e.self.Zone, planned, zones, rand.IntN) {
+		if steer.NeedsSpill(e.self.Zone, planned, zone) && !credit.Spill() {
+			return nil, last
+		}
+		answer, err := e.tryZone(ctx, v, policy, r, zone)
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
+			return answer, err
+		}
+		last = err
+		if errs.AsRefusal(err).Reason() == errs.ReasonRegionFull {
+			e.limits.full.Store(zone.Region(), e.limits.clock())
+		}
+		if ctx.Err() != nil {
+			return nil, errs.NotRun(errs.ReasonDeadline, 0, "the deadline passed before a target ran the request")
+		}
+	}
+	return nil, last
+}
+
+// zones returns the availability zones with usable targets, and what is known
+// of their regions. A request that has come from another entry stays in this
+// zone.
+func (e *Entry) zones(v *view, policy *config.Policy, r *Request) []steer.Zone {
+	var zones []steer.Zone
+	now := e.limits.clock()
+	for _, name := range slices.Sorted(maps.Keys(v.targets[r.service])) {
+		if r.hops > 0 && name != e.self.Zone || len(v.usable(r.service, policy, name)) == 0 {
+			continue
+		}
+		zone := steer.NewZone(name)
+		if refused, found := e.limits.full.Load(name.Region()); found {
+			zone = zone.WithRefusal(now - refused.(time.Duration))
+		}
+		zones = append(zones, zone)
+	}
+	return zones
+}
+
+func (e *Entry) distance(zone place.Zone) int {
+	switch {
+	case zone == e.self.Zone:
+		return 0
+	case zone.Region() == e.self.Zone.Region():
+		return 1
+	}
+	return 2
+}
+
+// tryZone hands the request to the zone. The entry at which it reaches the
+// region counts it against the region's limit.
+func (e *Entry) tryZone(ctx context.Context, v *view, policy *config.Policy, r *Request, zone place.Zone) (*wire.Answer, error) {
+	if zone.Region() == e.self.Zone.Region() && !r.admitted {
+		if !e.limits.admission.Admit(e.limits.clock()) {
+			return nil, errs.NotRun(errs.ReasonRegionFull, ComeBack, "region %s has no room at instance %s", zone.Region(), e.self.Instance)
+		}
+		defer e.limits.admission.Done()
+	}
+	if zone == e.self.Zone {
+		return e.tryTarget(ctx, v, policy, r)
+	}
+	entries := e.reachable(v.zoneEntries[zone])
+	if len(entries) == 0 {
+		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	}
+	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+}
+
+// tryTarget hands the request to the better of two random targets of the zone,
+// through its keeper, and to the other if that one has no room.
+func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
+	candidates := e.limits.candidates(v, policy, r.service)
+	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
+	for _, c := range steer.Choose(candidates, keeper.ServiceTimeFirst, rand.IntN) {
+		answer, err := e.tryKeeper(ctx, v, policy, r, c)
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
+			return answer, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func (e *Entry) tryKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, c steer.Candidate) (*wire.Answer, error) {
+	if c.Keeper() == e.self.Instance {
+		return e.sendKept(ctx, v, policy, r, c.Target())
+	}
+	if k := (*e.limits.targets.Load())[c.Target()]; k != nil {
+		k.sent.Add(1)
+	}
+	message := r.toWire(wire.ScopeTarget, e.now())
+	message.Target = c.Target()
+	return e.forward(ctx, c.Keeper(), message)
+}
+
+// candidates returns the targets of the zone with what is known of each.
+func (l *limits) candidates(v *view, policy *config.Policy, service place.Service) []steer.Candidate {
+	e := l.entry
+	now := l.clock()
+	targets := *l.targets.Load()
+	usable := v.usable(service, policy, e.self.Zone)
+	candidates := make([]steer.Candidate, 0, len(usable))
+	for _, t := range usable {
+		k := targets[t.Target]
+		if k == nil {
+			continue
+		}
+		if k.hold.Held(now) {
+			own := k.gate.View()
+			c := steer.NewCandidate(t.Target, e.self.Instance)
+			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0))
+			continue
+		}
+		c := steer.NewCandidate(t.Target, *k.keeper.Load())
+		if told := k.view.Load(); told != nil {
+			wait := time.Duration(told.WaitMicros) * time.Microsecond
+			c = c.WithView(told.Free, wait, told.Failures, told.Leaving || k.leaving.Load(), now-told.gained, int(k.sent.Load()))
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// learnNear takes in what a keeper of this zone added to an answer.
+func (l *limits) learnNear(from place.Instance, told *wire.KeeperView) {
+	if entry, found := l.entry.view.Load().entries[from]; found && entry.Zone == l.entry.self.Zone {
+		l.learn(from, told)
+	}
+}
+
+// sendKept sends the request to a target that this entry keeps.
+func (e *Entry) sendKept(ctx context.Context, v *view, policy *config.Policy, r *Request, name place.Target) (*wire.Answer, error) {
+	k := (*e.limits.targets.Load())[name]
+	client := v.clients[name]
+	if k == nil || client == nil {
+		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "instance %s doesn't know target %s", e.self.Instance, name)
+	}
+	deadline := e.limits.clock() + r.deadline.Sub(e.now())
+	pass, err := k.enter(ctx, deadline)
+	if err != nil {
+		return nil, err
+	}
+	if !pass.Held() {
+		e.limits.done(ctx, name, k, pass, keeper.OutcomeUnused)
+		return nil, errs.NotRun(errs.ReasonLostKeeper, ComeBack, "instance %s ceased to be the keeper of target %s", e.self.Instance, name)
+	}
+	answer, err := client.Do(ctx, targetRequest(policy, r))
+	e.limits.done(ctx, name, k, pass, outcomeOf(err))
+	if err != nil {
+		return nil, err
+	}
+	whole := answerToWire(answer)
+	whole.Target = name
+	return whole, nil
+}
+
+func targetRequest(policy *config.Policy, r *Request) target.Request {
+	headers := make([]target.Header, 0, len(r.headers))
+	for _, h := range r.headers {
+		headers = append(headers, target.NewHeader(h.Name, h.Value))
+	}
+	return target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
+}
+
+// outcomeOf tells what became of the slot.
+func outcomeOf(err error) keeper.Outcome {
+	if err == nil {
+		return keeper.OutcomeRan
+	}
+	refusal := errs.AsRefusal(err)
+	if refusal.Verdict() != errs.VerdictNotRun {
+		return keeper.OutcomeUnknown
+	}
+	switch refusal.Reason() {
+	case errs.ReasonTargetBusy:
+		return keeper.OutcomeShed
+	case errs.ReasonTargetError:
+		return keeper.OutcomeFailed
+	default:
+		return keeper.OutcomeUnused
+	}
+}
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/place"
@@ -29,12 +31,17 @@
 type Health struct {
 	incarnation uint64
 	leaving     bool
+	refused     bool
 	heard       time.Time
 }
 
 // Leaving tells whether the peer said that it is about to stop.
 func (h Health) Leaving() bool { return h.leaving }
 
+// Refused tells whether the peer's address refused the last connection, which
+// means that its process has ended.
+func (h Health) Refused() bool { return h.refused }
+
 // Incarnation returns the number of the peer's process, 0 if it was never
 // heard.
 func (h Health) Incarnation() uint64 { return h.incarnation }
@@ -100,6 +107,9 @@
 func (h *Heart) beat(ctx context.Context, peer place.Instance) *Health {
 	beat := &wire.Beat{Instance: h.self.Instance, Incarnation: h.self.Incarnation, Leaving: h.leaving.Load()}
 	answer, err := h.caller.Call(ctx, peer, beat)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return &Health{refused: true}
+	}
 	if err != nil {
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -87,6 +87,7 @@
 	Status  int          `msgpack:"status"`
 	Headers []Header     `msgpack:"headers"`
 	Body    []byte       `msgpack:"body"`
+	Keeper  *KeeperView  `msgpack:"keeper,omitempty"`
 }
 
 // Refused says that a call failed, and whether the request may have run.
@@ -95,6 +96,7 @@
 	Reason         errs.Reason  `msgpack:"reason"`
 	Text           string       `msgpack:"text"`
 	ComeBackMillis int64        `msgpack:"come_back_ms"`
+	Keeper         *KeeperView  `msgpack:"keeper,omitempty"`
 }
 
 // Beat tells that a process lives.
@@ -124,6 +126,7 @@
 	newCore,
 	newSettings,
 	newRoster,
+	newLimits,
 }
 
 func newCore(k Kind) Message {
