--- a/entry/limits.go
+++ b/entry/limits.go
@@ -110,6 +110,9 @@
 		if _, known := l.leases.Keeper(k.resource, now); !known && k.view.Load() == nil {
 			return
 		}
+		if k.gate.Unsure() {
+			return
+		}
 	}
 	l.known.Store(true)
 }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -69,10 +69,12 @@
 func (c Candidate) Keeper() place.Instance { return c.keeper }
 
 // ExpectedWait returns how long a request handed over now is expected to wait.
+// Requests handed over since the last word of a keeper count against it, so that
+// a keeper which has fallen silent is soon avoided.
 // service is the mean time that a request takes.
 func (c Candidate) ExpectedWait(service time.Duration) time.Duration {
 	if !c.known || c.age >= ViewStale {
-		return max(UnknownWait, service)
+		return max(UnknownWait, service) * time.Duration(1+c.sent)
 	}
 	if c.sent < c.free {
 		return 0
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -61,6 +61,10 @@
 			target("frozen").WithView(4, 0, 0, false, ms, 5),
 			target("short").WithView(0, 10*ms, 0, false, 0, 0),
 		}, "short"},
+		"a silent keeper is avoided": {[]steer.Candidate{
+			target("silent").WithView(4, 0, 0, false, steer.ViewStale, 8),
+			target("long").WithView(0, 90*ms, 0, false, 0, 0),
+		}, "long"},
 		"unknown before a long queue": {[]steer.Candidate{
 			target("long").WithView(0, 90*ms, 0, false, 0, 0),
 			target("unknown"),
