Measure keepers against fixed shares and leased units in a model

Cause: the choice of one keeper for each target rested on a trial that knew every queue at once. Before: no measurement in the repository.

--- /dev/null
+++ b/model/model_test.go
@@ -0,0 +1,50 @@
+package model_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/model"
+)
+
+var (
+	small = model.NewSetting(3, 2, 7, 20*time.Millisecond, 0.8, model.Deadline, 30*time.Second)
+	large = model.NewSetting(110, 18, 4, 20*time.Millisecond, 0.8, model.Deadline, 30*time.Second)
+)
+
+// TestCompare prints the table of docs/LIMITS.md; run it with -v. It checks only
+// what doesn't hang on a figure: the order of the ways by refusals.
+func TestCompare(t *testing.T) {
+	settings := map[string]model.Setting{"3 entries, 2 targets of 7 slots": small, "110 entries, 18 targets of 4 slots": large}
+	ways := []model.Way{model.WayFixed, model.WayLeased, model.WayKeeper, model.WayPool}
+	for name, setting := range settings {
+		t.Run(name, func(t *testing.T) {
+			late := map[model.Way]float64{}
+			for _, way := range ways {
+				var lates, p50s, p99s, messages []float64
+				for seed := uint64(1); seed <= 3; seed++ {
+					r := model.Run(way, setting, seed)
+					lates = append(lates, r.Late())
+					p50s = append(p50s, r.Wait(0.5).Seconds()*1000)
+					p99s = append(p99s, r.Wait(0.99).Seconds()*1000)
+					messages = append(messages, r.Messages())
+					late[way] = max(late[way], r.Late())
+				}
+				t.Logf("%-12s  late %5.2f..%5.2f %%  p50 %7.1f..%7.1f ms  p99 %8.1f..%8.1f ms  messages/s %6.0f..%6.0f", way,
+					slices.Min(lates), slices.Max(lates), slices.Min(p50s), slices.Max(p50s),
+					slices.Min(p99s), slices.Max(p99s), slices.Min(messages), slices.Max(messages))
+			}
+			if late[model.WayKeeper] > late[model.WayFixed] {
+				t.Errorf("keepers refuse %v %%, fixed shares %v %%", late[model.WayKeeper], late[model.WayFixed])
+			}
+		})
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	first, second := model.Run(model.WayKeeper, small, 5), model.Run(model.WayKeeper, small, 5)
+	if first.Wait(0.99) != second.Wait(0.99) || first.Messages() != second.Messages() {
+		t.Error("two runs with one seed differ")
+	}
+}
