Close a stand-in that was closed before it served

Cause: a run of the whole suite hung for 600 s in a test of package manage. The library's shutdown passes over a listener that its server does not serve yet, so Close waited for a goroutine that served for ever. Ruled out: a fault of the commands (eight runs alone passed). Conclusion: Close ends the listener itself.

--- a/plat/server.go
+++ b/plat/server.go
@@ -91,10 +91,12 @@
 // Addr returns the address "host:port" that the server listens at.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close ends all watches and stops serving.
+// Close ends all watches and stops serving. The listener is closed here too,
+// because the library's shutdown passes over one that it doesn't serve yet.
 func (s *Server) Close() error {
 	close(s.closed)
 	err := s.app.ShutdownWithTimeout(closeTimeout)
+	_ = s.listener.Close()
 	s.serving.Wait()
 	return errors.Wrap(err, "stop serving")
 }
