Document every setting and hold the page to the code

Cause: the settings had no reference. Ruled out: a generated page: the meaning of a field reads better written by hand. Before: fields, ranges and defaults stood in the code only.

--- a/config/body.go
+++ b/config/body.go
@@ -67,6 +67,12 @@
 	teamNames    = append(scalarNames(false), nameRegions, nameRefused)
 	serviceNames = append(slices.Clone(teamNames), nameTargets, nameNonIdempotent, nameDiversions, nameLeaving,
 		nameLeavingZones, nameAllotments)
+	// otherNames are the fields without a range.
+	otherNames = []string{
+		nameRegions, nameTargets, nameNonIdempotent, nameRefused, nameDiversions, nameLeaving, nameLeavingZones,
+		nameAllotments, nameLinks, nameFrom, nameTo, nameMethod, namePath, nameHeader,
+	}
+	statusSpan = span{statusLeast, statusMost, true}
 )
 
 // body reads the object of a team, or of a service.
@@ -173,7 +179,7 @@
 	for _, m := range r.members(element.path, element.value) {
 		switch m.name {
 		case nameStatus:
-			status, _ := r.number(m, span{statusLeast, statusMost, true})
+			status, _ := r.number(m, statusSpan)
 			refused.status = int(status)
 		case nameHeader:
 			refused.header = r.text(m)
--- a/config/field.go
+++ b/config/field.go
@@ -184,3 +184,41 @@
 	origin.within = "regions." + string(region)
 	return []layer{{values: &block, origin: origin}}
 }
+
+// FieldInfo describes one setting for the settings reference.
+type FieldInfo struct {
+	name     string
+	allowed  string
+	fallback string
+	byTarget bool
+}
+
+// Name returns the name of the field in JSON.
+func (f FieldInfo) Name() string { return f.name }
+
+// Allowed returns the range of a number, "" for other settings.
+func (f FieldInfo) Allowed() string { return f.allowed }
+
+// Default returns the default of a number, "" for other settings.
+func (f FieldInfo) Default() string { return f.fallback }
+
+// ByTarget tells whether the setting can be given for one target.
+func (f FieldInfo) ByTarget() bool { return f.byTarget }
+
+// Reference lists every field that the settings may have.
+func Reference() []FieldInfo {
+	infos := make([]FieldInfo, 0, len(fieldSpecs)+len(otherNames))
+	for _, spec := range fieldSpecs {
+		infos = append(infos, FieldInfo{name: spec.name, allowed: spec.span.String(), fallback: number(spec.fallback), byTarget: spec.byTarget})
+	}
+	infos = append(infos,
+		FieldInfo{name: nameInFlightLimit, allowed: inFlightSpan.String()},
+		FieldInfo{name: nameMbit, allowed: mbitSpan.String()},
+		FieldInfo{name: namePercent, allowed: percentSpan.String()},
+		FieldInfo{name: nameStatus, allowed: statusSpan.String()},
+	)
+	for _, name := range otherNames {
+		infos = append(infos, FieldInfo{name: name})
+	}
+	return infos
+}
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -21,6 +21,11 @@
 	linkMbitLeast = 0.001
 )
 
+var (
+	inFlightSpan = span{1, InFlightLimitMax, true}
+	mbitSpan     = span{least: linkMbitLeast, most: LinkMbitMax}
+)
+
 // Link is a one-way link between two regions.
 type Link struct {
 	from place.Region
@@ -91,12 +96,12 @@
 				r.unknown(inner, []string{nameInFlightLimit})
 				continue
 			}
-			if limit, ok := r.number(inner, span{1, InFlightLimitMax, true}); ok {
+			if limit, ok := r.number(inner, inFlightSpan); ok {
 				fleet.inFlight[name] = int(limit)
 			}
 		}
 		if _, found := fleet.inFlight[name]; !found {
-			r.add(join(region.path, nameInFlightLimit), "no valid limit is given; want %s", span{1, InFlightLimitMax, true})
+			r.add(join(region.path, nameInFlightLimit), "no valid limit is given; want %s", inFlightSpan)
 		}
 	}
 }
@@ -111,7 +116,7 @@
 		case nameTo:
 			link.to = r.region(m.path, r.text(m))
 		case nameMbit:
-			rate, _ = r.number(m, span{least: linkMbitLeast, most: LinkMbitMax})
+			rate, _ = r.number(m, mbitSpan)
 		default:
 			r.unknown(m, []string{nameFrom, nameTo, nameMbit})
 		}
@@ -120,7 +125,7 @@
 		r.add(element.path, "from %q to %q is given; want two different regions", link.from, link.to)
 	}
 	if rate == 0 {
-		r.add(join(element.path, nameMbit), "no valid rate is given; want %s", span{least: linkMbitLeast, most: LinkMbitMax})
+		r.add(join(element.path, nameMbit), "no valid rate is given; want %s", mbitSpan)
 	}
 	if _, found := fleet.links[link]; found {
 		r.add(element.path, "the link from %s to %s stands twice; want it once", link.from, link.to)
