Run non-idempotent requests through their home and witness

Cause: package ticket decides, but nothing spoke its messages. Ruled out: waiting for the caller's own connection to run the request, since a caller that gives up may repeat; the run has its own deadline.

--- /dev/null
+++ b/once/fleet_test.go
@@ -0,0 +1,203 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/once"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/ticket"
+	"github.com/endivechute/endivechute/wire"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Println(err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// fate is what the network does with one message.
+type fate int
+
+const (
+	whole fate = iota
+	lostAsk
+	lostReply
+	doubled
+)
+
+// fleet is processes on a network in memory.
+type fleet struct {
+	mu      sync.Mutex
+	members map[place.Instance]*member
+	fate    func(from, to place.Instance, message wire.Message) fate
+	run     func(key string) (*wire.Answer, error)
+	ran     map[string]int
+	ahead   atomic.Int64
+	started uint64
+}
+
+type member struct {
+	fleet *fleet
+	hello wire.Hello
+	keys  *once.Keys
+	dead  atomic.Bool
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{members: map[place.Instance]*member{}, ran: map[string]int{}}
+	f.fate = func(place.Instance, place.Instance, wire.Message) fate { return whole }
+	f.run = answer
+	for _, name := range []place.Instance{"a", "b", "c"} {
+		f.start(name)
+	}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			m.keys.Close()
+		}
+	})
+	return f
+}
+
+func answer(key string) (*wire.Answer, error) {
+	return &wire.Answer{Target: "t", Status: 200, Body: []byte("answer to " + key)}, nil
+}
+
+// start starts a process, or replaces it by one of the same name.
+func (f *fleet) start(name place.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	m := &member{fleet: f, hello: wire.Hello{Instance: name, Incarnation: f.started}}
+	m.keys = once.New(ticket.NewID(name, f.started), ticket.DefaultLimits(), m, m, func() time.Time {
+		return time.Now().Add(time.Duration(f.ahead.Load()))
+	}, logs.Discard())
+	if old := f.members[name]; old != nil {
+		old.dead.Store(true)
+	}
+	f.members[name] = m
+}
+
+func (f *fleet) member(name place.Instance) *member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[name]
+}
+
+// prefix returns a key prefix of home a with witness b.
+func (f *fleet) prefix(t testing.TB) string {
+	b := f.member("b").hello
+	f.member("a").keys.SetWitness(ticket.NewID(b.Instance, b.Incarnation), "kigali/b")
+	prefix, ok := f.member("a").keys.Prefix()
+	if !ok {
+		t.Fatal("no prefix")
+	}
+	return prefix
+}
+
+// Reachable implements once.Network.
+func (m *member) Reachable(place.Instance) bool { return true }
+
+// Call implements once.Network.
+func (m *member) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	m.fleet.mu.Lock()
+	to, fate := m.fleet.members[instance], m.fleet.fate
+	m.fleet.mu.Unlock()
+	if to.dead.Load() || m.dead.Load() {
+		return nil, errors.Mark(errors.New("no connection"), wire.ErrNotSent)
+	}
+	happens := fate(m.hello.Instance, instance, message)
+	if happens == lostAsk || m.dead.Load() {
+		return nil, errors.New("the connection ended")
+	}
+	if happens == doubled {
+		_ = to.keys.Handle(ctx, m.hello, message)
+	}
+	reply := to.keys.Handle(ctx, m.hello, message)
+	if happens == lostReply || to.dead.Load() || m.dead.Load() {
+		return nil, errors.New("the connection ended")
+	}
+	return reply, nil
+}
+
+// RunOnce implements once.Runner: it is the target, and keeps the log.
+func (m *member) RunOnce(_ context.Context, request *wire.Forward) (*wire.Answer, error) {
+	if m.dead.Load() {
+		return nil, errs.MayHaveRun(errs.ReasonPeerFailed, "the process is dead")
+	}
+	result, err := m.fleet.run(request.Key)
+	if errs.VerdictOf(err) != errs.VerdictNotRun || err == nil {
+		m.fleet.mu.Lock()
+		m.fleet.ran[request.Key]++
+		m.fleet.mu.Unlock()
+	}
+	return result, err
+}
+
+func (f *fleet) runs(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[key]
+}
+
+const patience = 4 * time.Second
+
+// send sends a request to an entry and returns the verdict with the reason, or
+// the body of the answer.
+func (f *fleet) send(entry place.Instance, key string) string {
+	return f.sendWithin(patience, entry, key)
+}
+
+func (f *fleet) sendWithin(deadline time.Duration, entry place.Instance, key string) string {
+	r, err := once.NewRequest(&wire.Forward{Service: "library/loan-ledger", Method: "POST", Path: "/loans", Body: []byte("x"), Key: key})
+	if err != nil {
+		return err.Error()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	result, err := f.member(entry).keys.Serve(ctx, r)
+	if err == nil {
+		return string(result.Body)
+	}
+	refusal := errs.AsRefusal(err)
+	text := refusal.Verdict().String() + " " + string(refusal.Reason())
+	if refusal.ComeBack() > 0 {
+		text += " again"
+	}
+	return text
+}
+
+// expect sends a request and checks what comes back.
+func (f *fleet) expect(t *testing.T, entry place.Instance, key, want string) {
+	t.Helper()
+	if got := f.send(entry, key); got != want {
+		t.Errorf("%s got %q for a key, want %q", entry, got, want)
+	}
+}
+
+func isKind[T wire.Message](message wire.Message) bool {
+	_, ok := message.(T)
+	return ok
+}
+
+func (f *fleet) setFate(fate func(from, to place.Instance, message wire.Message) fate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fate = fate
+}
+
+func isAnswer(got, key string) bool { return strings.HasPrefix(got, "answer to "+key) }
--- /dev/null
+++ b/once/witness.go
@@ -0,0 +1,198 @@
+package once
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/ticket"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// witness keeps the records of other homes.
+type witness struct {
+	self     ticket.ID
+	now      func() time.Time
+	budget   *ticket.Budget
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	shelves map[ticket.ID]*shelf
+}
+
+// shelf is the records of one home.
+type shelf struct {
+	mu      sync.Mutex
+	records *ticket.Records
+}
+
+func newWitness(self ticket.ID, limits ticket.Limits, now func() time.Time) *witness {
+	return &witness{self: self, now: now, budget: ticket.NewBudget(limits), shelves: map[ticket.ID]*shelf{}}
+}
+
+// use calls do with the records of a home. The records can't be dropped
+// meanwhile.
+func (w *witness) use(home ticket.ID, do func(*ticket.Records)) {
+	w.mu.Lock()
+	s := w.shelves[home]
+	if s == nil {
+		s = &shelf{records: ticket.NewRecords(w.self, home, w.budget)}
+		w.shelves[home] = s
+		if w.stopping.Load() {
+			s.records.Release()
+		}
+	}
+	s.mu.Lock()
+	w.mu.Unlock()
+	defer s.mu.Unlock()
+	do(s.records)
+}
+
+func (w *witness) record(key ticket.Key, digest ticket.Digest, bound time.Duration) (reply ticket.RecordReply) {
+	w.use(key.Prefix().Home(), func(r *ticket.Records) { reply = r.Record(w.now(), key, digest, bound) })
+	return reply
+}
+
+func (w *witness) seal(key ticket.Key, digest ticket.Digest) (sealed ticket.Seal) {
+	if key.Prefix().Witness() != w.self {
+		return ticket.NewSealUnknown(0, "the home of the key is gone, and its witness was restarted")
+	}
+	w.use(key.Prefix().Home(), func(r *ticket.Records) { sealed = r.Seal(w.now(), key, digest) })
+	return sealed
+}
+
+// report keeps an outcome and tells whether the home's ledger was taken over.
+func (w *witness) report(key ticket.Key, outcome ticket.Outcome) (adopted bool) {
+	w.use(key.Prefix().Home(), func(r *ticket.Records) {
+		if adopted = r.Adopted() != nil; !adopted {
+			r.Report(key, outcome)
+		}
+	})
+	return adopted
+}
+
+// adopt takes over a home's ledger, or returns nil if this process stops or is
+// not the witness.
+func (w *witness) adopt(handover ticket.Handover, budget *ticket.Budget) (adopted *ticket.Ledger) {
+	if handover.Witness != w.self {
+		return nil
+	}
+	w.use(handover.Home, func(r *ticket.Records) {
+		if !w.stopping.Load() {
+			adopted = r.Adopt(handover, budget)
+		}
+	})
+	return adopted
+}
+
+// release ends the part of the witness and returns a message for each home.
+func (w *witness) release() []ticket.Release {
+	w.mu.Lock()
+	w.stopping.Store(true)
+	shelves := maps.Clone(w.shelves)
+	w.mu.Unlock()
+	var messages []ticket.Release
+	for _, s := range shelves {
+		s.mu.Lock()
+		if message, ok := s.records.Release(); ok {
+			messages = append(messages, message)
+		}
+		s.mu.Unlock()
+	}
+	return messages
+}
+
+// sweep forgets keys whose time is past.
+func (w *witness) sweep() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for home, s := range w.shelves {
+		s.mu.Lock()
+		if s.records.Sweep(w.now()) {
+			delete(w.shelves, home)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Handle answers the messages of other processes about keys: wire.Forward with
+// wire.ScopeHome and the messages that begin with Key. It returns nil for any
+// other message.
+func (k *Keys) Handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
+	from := ticket.NewID(peer.Instance, peer.Incarnation)
+	switch m := message.(type) {
+	case *wire.Forward:
+		return k.handleForward(ctx, m)
+	case *wire.KeyRecord:
+		key, err := ticket.ParseKey(m.Key)
+		if err != nil || key.Prefix().Home() != from {
+			return &wire.KeyRecorded{Reply: uint8(ticket.RecordStranger)}
+		}
+		bound := min(BoundMax, time.Duration(m.BoundMillis)*time.Millisecond)
+		return &wire.KeyRecorded{Reply: uint8(k.witness.record(key, ticket.Digest(m.Digest), bound))}
+	case *wire.KeySeal:
+		key, err := ticket.ParseKey(m.Key)
+		if err != nil {
+			return sealToWire(ticket.NewSealUnknown(0, err.Error()))
+		}
+		return sealToWire(k.witness.seal(key, ticket.Digest(m.Digest)))
+	case *wire.KeyReport:
+		return k.handleReport(from, m)
+	case *wire.KeyHandover:
+		return k.handleHandover(from, m)
+	case *wire.KeyRelease:
+		release := ticket.Release{Home: processFromWire(m.Home), Witness: processFromWire(m.Witness), Sealed: rowsFromWire(m.Sealed), Withdrawn: m.Withdrawn}
+		return &wire.KeyTaken{Taken: release.Witness == from && k.home.released(release)}
+	}
+	return nil
+}
+
+func (k *Keys) handleForward(ctx context.Context, m *wire.Forward) wire.Message {
+	r, err := NewRequest(m)
+	if err != nil {
+		return refusalToWire(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.DeadlineMillis)*time.Millisecond)
+	defer cancel()
+	answer, err := k.home.serve(ctx, r)
+	switch {
+	case errors.Is(err, errAway):
+		return &wire.KeyAway{}
+	case err != nil:
+		return refusalToWire(err)
+	}
+	return answer
+}
+
+func (k *Keys) handleReport(from ticket.ID, m *wire.KeyReport) wire.Message {
+	key, err := ticket.ParseKey(m.Key)
+	if err != nil || key.Prefix().Home() != from || key.Prefix().Witness() != k.witness.self {
+		return &wire.KeyTaken{}
+	}
+	outcome := outcomeFromWire(m.Outcome)
+	if k.witness.report(key, outcome) {
+		k.home.reported(key, outcome)
+	}
+	return &wire.KeyTaken{Taken: true}
+}
+
+func (k *Keys) handleHandover(from ticket.ID, m *wire.KeyHandover) wire.Message {
+	handover := handoverFromWire(m)
+	switch {
+	case handover.Home != from:
+		return refusalToWire(errs.NotRun(errs.ReasonKeyInvalid, 0, "instance %s hands over the keys of another process", from.Instance()))
+	case handover.Witness != k.witness.self:
+		return refusalToWire(errs.MayHaveRun(errs.ReasonLostHome, "instance %s was restarted", k.witness.self.Instance()))
+	}
+	adopted := k.witness.adopt(handover, k.home.budget)
+	if adopted == nil {
+		return &wire.KeyTaken{}
+	}
+	k.home.adopt(adopted)
+	return &wire.KeyTaken{Taken: true}
+}
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -35,8 +35,12 @@
 
 // Freeze stops the ledger from running further keys and returns the handover
 // for the witness. Requests that wait for an acknowledgement must be taken in
-// again once the handover has ended.
-func (l *Ledger) Freeze() Handover {
+// again once the handover has ended. It returns false, and changes nothing,
+// unless the ledger is open.
+func (l *Ledger) Freeze() (Handover, bool) {
+	if l.phase != phaseOpen {
+		return Handover{}, false
+	}
 	handover := Handover{Home: l.home, Witness: l.witness, Zone: l.zone, LastExpires: l.lastExpires, ClosedUntil: l.closedUntil}
 	for s, e := range l.entries {
 		named := HandoverKey{Nonce: s.nonce, Number: s.number, Expires: e.expires, Digest: e.digest}
@@ -56,7 +60,7 @@
 		handover.ClosedUntil = l.lastExpires
 	}
 	l.phase = phaseFrozen
-	return handover
+	return handover, true
 }
 
 // Thaw takes in that the witness certainly did not take over.
--- a/ticket/key_test.go
+++ b/ticket/key_test.go
@@ -14,7 +14,7 @@
 }
 
 func ExampleParseKey() {
-	ledger := newLedger(ticket.NewBudget(ticket.DefaultLimits()))
+	ledger := newLedger(ticket.NewBudget(limits))
 	prefix, _ := ledger.Issue(time.UnixMilli(0), 42)
 	key, err := ticket.ParseKey(prefix.String() + ".3")
 	fmt.Println(key.Number(), key.Prefix().Home().Instance(), key.Prefix().WitnessZone(), err)
@@ -26,7 +26,7 @@
 }
 
 func FuzzParseKey(f *testing.F) {
-	prefix, _ := newLedger(ticket.NewBudget(ticket.DefaultLimits())).Issue(time.UnixMilli(0), 42)
+	prefix, _ := newLedger(ticket.NewBudget(limits)).Issue(time.UnixMilli(0), 42)
 	text := prefix.Key(3).String()
 	for _, seed := range []string{text, text[:20], text + "0", text + "\n", strings.Replace(text, ".3", ".03", 1), ".1", "", "AQ.1", "-.0"} {
 		f.Add(seed)
@@ -40,7 +40,7 @@
 }
 
 func TestParseKeyRefuses(t *testing.T) {
-	prefix, _ := newLedger(ticket.NewBudget(ticket.DefaultLimits())).Issue(time.UnixMilli(0), 42)
+	prefix, _ := newLedger(ticket.NewBudget(limits)).Issue(time.UnixMilli(0), 42)
 	text := prefix.String()
 	tests := map[string]struct{ text, want string }{
 		"no number":     {text, "a dot and a number"},
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -81,8 +81,20 @@
 // Running returns how many requests were handed on and have no outcome yet.
 func (l *Ledger) Running() int { return l.running }
 
-// Moved tells whether another process took over.
-func (l *Ledger) Moved() bool { return l.phase == phaseMoved }
+// Alive tells whether there may be keys that only this process can run.
+func (l *Ledger) Alive(now time.Time) bool {
+	return l.phase != phaseMoved && now.Before(time.UnixMilli(l.lastExpires))
+}
+
+// Alone tells whether keys run without acknowledgement, since this process
+// took over from the home or the witness stops.
+func (l *Ledger) Alone() bool { return l.phase == phaseAlone }
+
+// Knows tells whether the ledger keeps the key.
+func (l *Ledger) Knows(key Key) bool {
+	_, known := l.entries[key.serial()]
+	return known
+}
 
 // Issue makes a key prefix. nonce must be random, so that no two look-ups get
 // the same prefix and no caller can guess another's. It returns false once the
--- a/ticket/ledger_test.go
+++ b/ticket/ledger_test.go
@@ -134,7 +134,8 @@
 	p.ledger.Arrive(start, p.prefix.Key(2), 1, bound)
 	p.ledger.Refuse(start, p.prefix.Key(2), errs.ReasonNoWitness, "")
 	p.ledger.Arrive(start, p.prefix.Key(3), 1, bound)
-	adopted := p.records.Adopt(p.ledger.Freeze(), ticket.NewBudget(limits))
+	handover, _ := p.ledger.Freeze()
+	adopted := p.records.Adopt(handover, ticket.NewBudget(limits))
 	p.ledger.Hand()
 	if _, moved := p.ledger.Arrive(start, p.prefix.Key(3), 1, bound).(ticket.StepMoved); !moved {
 		t.Error("the former home did not lead the request on")
--- a/ticket/oracle_test.go
+++ b/ticket/oracle_test.go
@@ -471,10 +471,12 @@
 	}
 	n.stopping = true
 	for _, l := range sorted(n.ledgers[n.id]) {
-		if _, begun := n.handovers[l]; !begun && !l.Moved() {
-			n.handovers[l] = l.Freeze()
+		if body, ok := l.Freeze(); ok {
+			n.handovers[l] = body
+		}
+		if body, ok := n.handovers[l]; ok {
+			w.send(w.node(l.Witness()), handover{body})
 		}
-		w.send(w.node(l.Witness()), handover{n.handovers[l]})
 	}
 	for _, r := range sorted(n.records) {
 		if body, ok := r.Release(); ok {
--- a/ticket/step.go
+++ b/ticket/step.go
@@ -77,3 +77,11 @@
 func (SealKnown) seal()   {}
 func (SealUnknown) seal() {}
 func (SealActing) seal()  {}
+
+// NewSealKnown makes a SealKnown.
+func NewSealKnown(outcome Outcome) SealKnown { return SealKnown{outcome: outcome} }
+
+// NewSealUnknown makes a SealUnknown. after is when asking again may tell more.
+func NewSealUnknown(after time.Duration, why string) SealUnknown {
+	return SealUnknown{after: after, why: why}
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -124,6 +124,7 @@
 	newCore,
 	newSettings,
 	newRoster,
+	newOnce,
 }
 
 func newCore(k Kind) Message {
