Lead non-idempotent requests through their homes and witnesses

Cause: the entry's stand-in for at-most-once kept answers in one process, so a killed home left every repeat as 'may have run', and a refused copy could be followed by one that ran. Ruled out: judging a request with a key by the settings of the entry that it reaches: an entry that lacks a policy would say 'not run' of a request whose copy runs elsewhere. Only the home looks at them, after it took the key in. Conclusion: entry/once.go holds the joint; look-ups give out prefixes, a shutdown hands the keys over before it waits for the last request.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivechute/endivechute/once"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/store"
@@ -24,6 +25,7 @@
 	Peers       []DumpPeer      `json:"peers"`
 	Targets     []DumpTarget    `json:"targets"`
 	Services    []place.Service `json:"services"`
+	Keys        once.Dump       `json:"keys"`
 }
 
 // DumpPeer is what the process knows of another entry.
@@ -49,7 +51,7 @@
 	v := e.view.Load()
 	dump := Dump{
 		Instance: e.self.Instance, Zone: e.self.Zone, Incarnation: e.self.Incarnation, Version: wire.Version,
-		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Settings: e.relay.Dump(), RosterAge: e.rosterAge(),
+		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Settings: e.relay.Dump(), RosterAge: e.rosterAge(), Keys: e.once.Dump(),
 	}
 	for _, entry := range v.entries {
 		if entry.Instance == e.self.Instance {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,11 +12,13 @@
 
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/once"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/roster"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/ticket"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -32,7 +34,7 @@
 	now      func() time.Time
 	log      *logrus.Logger
 	stats    *Stats
-	once     *keptAnswers
+	once     *once.Keys
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -44,8 +46,9 @@
 func New(self wire.Hello, seeds map[place.Instance]string, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, logger *logrus.Logger) *Entry {
 	e := &Entry{
 		self: self, seeds: seeds, pool: pool, heart: heart, now: now, log: logs.Part(logger, "entry"),
-		stats: NewStats(), once: newKeptAnswers(),
+		stats: NewStats(),
 	}
+	e.once = once.New(ticket.NewID(self.Instance, self.Incarnation), ticket.DefaultLimits(), reach{pool: pool, heart: heart, now: now}, e, now, logs.Part(logger, "once"))
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
@@ -68,6 +71,9 @@
 
 // Handle answers the messages of other entries. It implements wire.Handler.
 func (e *Entry) Handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
+	if answer := e.once.Handle(ctx, peer, message); answer != nil {
+		return answer
+	}
 	switch m := message.(type) {
 	case *wire.Beat:
 		return e.heart.Answer()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -21,7 +21,10 @@
 	tasks.Go(func() { e.roster.Run(ctx) })
 	tasks.Go(func() { e.relay.Run(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
+	tasks.Go(func() { e.once.Run(ctx) })
+	tasks.Go(func() { e.chooseWitnesses(ctx) })
 	tasks.Wait()
+	e.once.Close()
 }
 
 // takeRoster makes a new list of instances known to the process. The seeds
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -20,6 +20,9 @@
 	if !pause(ctx, LookupTTL+2*peers.BeatInterval) {
 		return
 	}
+	if err := e.once.Stop(ctx); err != nil {
+		e.log.WithError(err).Warn("The keys were not handed over in time.")
+	}
 	for e.inFlight.Load() > 0 {
 		if !pause(ctx, leavePoll) {
 			e.log.WithField("in_flight", e.inFlight.Load()).Warn("The shutdown ran out of time.")
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -25,7 +25,8 @@
 // Entries returns the entries to use, the best one first.
 func (f Found) Entries() []store.Entry { return f.entries }
 
-// KeyPrefix returns what the keys of non-idempotent requests begin with.
+// KeyPrefix returns what the keys of non-idempotent requests begin with. It is
+// empty while no other entry can witness them.
 func (f Found) KeyPrefix() string { return f.keyPrefix }
 
 // Expires returns how long the answer may be used.
--- a/entry/once.go
+++ b/entry/once.go
@@ -2,84 +2,140 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
-	"sync"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/once"
+	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/ticket"
 	"github.com/endivechute/endivechute/wire"
 )
 
-// keptAnswers holds the outcome of each non-idempotent request that this
-// process handed on, by key.
-type keptAnswers struct {
-	mu    sync.Mutex
-	calls map[string]*keptCall
+// witnessInterval is the time between two choices of the witness that new key
+// prefixes name.
+const witnessInterval = peers.BeatInterval / 2
+
+// reach implements once.Network over the connections to the peers.
+type reach struct {
+	pool  *peers.Pool
+	heart *peers.Heart
+	now   func() time.Time
 }
 
-type keptCall struct {
-	done   chan struct{}
-	answer *wire.Answer
-	err    error
+// Call implements once.Network.
+func (r reach) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	return r.pool.Call(ctx, instance, message)
 }
 
-func newKeptAnswers() *keptAnswers { return &keptAnswers{calls: map[string]*keptCall{}} }
+// Reachable implements once.Network. A peer that was never heard may be
+// reachable.
+func (r reach) Reachable(instance place.Instance) bool {
+	health := r.heart.Health(instance)
+	return health.Incarnation() == 0 || health.Reachable(r.now())
+}
 
-// begin returns the call of the key, and whether it is new.
-func (k *keptAnswers) begin(key string) (*keptCall, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if call, known := k.calls[key]; known {
-		return call, false
+// serveOnce leads a request with a key to the home of the key, whether or not
+// this process knows the settings: the home looks at them, so that its verdict
+// holds for every copy of the request.
+func (e *Entry) serveOnce(ctx context.Context, r *Request) (*wire.Answer, error) {
+	limit := config.DefaultDeadline
+	if policy, found := e.relay.Tables().Policy(r.service); found {
+		limit = policy.Deadline()
+	}
+	latest := e.now().Add(limit)
+	if r.deadline.IsZero() || r.deadline.After(latest) {
+		r.deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	request, err := once.NewRequest(r.toWire(wire.ScopeHome, e.now()))
+	if err != nil {
+		return nil, err
 	}
-	call := &keptCall{done: make(chan struct{})}
-	k.calls[key] = call
-	return call, true
+	return e.once.Serve(ctx, request)
 }
 
-// keyPrefix returns what the keys begin with that this process is the home of.
-func (e *Entry) keyPrefix() string {
-	return fmt.Sprintf("%s~%x", e.self.Instance, e.self.Incarnation)
+func (e *Entry) keyMissing(r *Request) error {
+	return errs.NotRun(errs.ReasonKeyMissing, 0,
+		"%s %s is non-idempotent and needs the header Endivechute-Key: take key_prefix from GET /v1/lookup?service=%s and append a dot and a number of your own",
+		r.method, r.plainPath(), r.service)
 }
 
-// serveOnce runs a non-idempotent request at its home, and leads it there from
-// any other entry.
-func (e *Entry) serveOnce(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	if r.key == "" {
-		return nil, errs.NotRun(errs.ReasonKeyMissing, 0,
-			"%s %s is non-idempotent and needs the header Endivechute-Key: take key_prefix from GET /v1/lookup?service=%s and append a dot and a number of your own",
-			r.method, r.plainPath(), r.service)
-	}
-	prefix, _, found := strings.Cut(r.key, ".")
-	home, _, split := strings.Cut(prefix, "~")
-	if !found || !split {
-		return nil, errs.NotRun(errs.ReasonKeyInvalid, 0, "the key %q doesn't begin with a key_prefix from a look-up", r.key)
+// RunOnce implements once.Runner: it hands a request on that has passed the
+// home of its key.
+func (e *Entry) RunOnce(ctx context.Context, forward *wire.Forward) (*wire.Answer, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	r := requestFromWire(forward, e.now())
+	r.hops = 0
+	policy, err := e.admit(r)
+	if err != nil {
+		return nil, err
 	}
-	if home != string(e.self.Instance) {
-		if r.hops > 0 {
-			return nil, errs.NotRun(errs.ReasonLostHome, 0, "instance %s is not the home of the key", e.self.Instance)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	return e.route(ctx, e.view.Load(), policy, r)
+}
+
+// chooseWitnesses keeps the witness of new key prefixes up to date until ctx
+// ends.
+func (e *Entry) chooseWitnesses(ctx context.Context) {
+	for {
+		e.chooseWitness()
+		if !pause(ctx, witnessInterval) {
+			return
 		}
-		return e.forward(ctx, place.Instance(home), r.toWire(wire.ScopeHome, e.now()))
 	}
-	if prefix != e.keyPrefix() {
-		return nil, errs.MayHaveRun(errs.ReasonLostHome, "the process that was the home of the key is gone")
+}
+
+// keyPrefix returns a new key prefix for one look-up, or an empty text while no
+// other entry can witness its keys.
+func (e *Entry) keyPrefix() string {
+	prefix, ok := e.once.Prefix()
+	if !ok {
+		e.chooseWitness()
+		prefix, _ = e.once.Prefix()
 	}
-	return e.runOnce(ctx, v, policy, r)
+	return prefix
 }
 
-func (e *Entry) runOnce(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	call, first := e.once.begin(r.key)
-	if first {
-		r.hops = 0
-		call.answer, call.err = e.route(ctx, v, policy, r)
-		close(call.done)
+// chooseWitness prefers another availability zone of the region, then another
+// instance of this zone, then another region. The choice stays the same as
+// long as the members do.
+func (e *Entry) chooseWitness() {
+	for _, distance := range []int{1, 0, 2} {
+		zones := e.witnesses(distance)
+		if len(zones) == 0 {
+			continue
+		}
+		names := slices.Sorted(maps.Keys(zones))
+		chosen := rendezvous.New(names, xxhash.Sum64String).Lookup(string(e.self.Instance))
+		id := ticket.NewID(place.Instance(chosen), e.heart.Health(place.Instance(chosen)).Incarnation())
+		e.once.SetWitness(id, zones[chosen])
+		return
 	}
-	select {
-	case <-call.done:
-		return call.answer, call.err
-	case <-ctx.Done():
-		return nil, errs.MayHaveRun(errs.ReasonDeadline, "the first request with this key is still running")
+	e.once.ClearWitness()
+}
+
+// witnesses returns the zones of the live entries at a distance, by instance.
+func (e *Entry) witnesses(distance int) map[string]place.Zone {
+	found := map[string]place.Zone{}
+	for zone := range e.view.Load().zoneEntries {
+		if e.distance(zone) != distance {
+			continue
+		}
+		for _, instance := range e.live(zone) {
+			if instance != e.self.Instance {
+				found[string(instance)] = zone
+			}
+		}
 	}
+	return found
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -33,6 +33,9 @@
 }
 
 func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	if r.key != "" {
+		return e.serveOnce(ctx, r)
+	}
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -41,7 +44,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	if policy.NonIdempotent(r.method, r.plainPath()) {
-		return e.serveOnce(ctx, v, policy, r)
+		return nil, e.keyMissing(r)
 	}
 	return e.route(ctx, v, policy, r)
 }
@@ -189,14 +192,14 @@
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	answer, err := e.serveForward(ctx, f.Scope, r)
+	answer, err := e.serveForward(ctx, r)
 	if err != nil {
 		return refusalToWire(err)
 	}
 	return answer
 }
 
-func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
+func (e *Entry) serveForward(ctx context.Context, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -204,8 +207,5 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	if scope == wire.ScopeHome {
-		return e.serveOnce(ctx, v, policy, r)
-	}
 	return e.route(ctx, v, policy, r)
 }
--- a/once/home.go
+++ b/once/home.go
@@ -30,6 +30,9 @@
 	budget   *ticket.Budget
 	stopping atomic.Bool
 	tasks    conc.WaitGroup
+	// running ends with the process, not with a call.
+	running context.Context
+	cancel  context.CancelFunc
 
 	// books is replaced and never changed; mu is held while replacing it.
 	books atomic.Pointer[map[pair]*book]
@@ -61,6 +64,7 @@
 
 func newHome(self ticket.ID, limits ticket.Limits, network Network, runner Runner, now func() time.Time, log *logrus.Logger) *home {
 	h := &home{self: self, network: network, runner: runner, now: now, log: log, budget: ticket.NewBudget(limits)}
+	h.running, h.cancel = context.WithCancel(context.Background())
 	h.books.Store(&map[pair]*book{})
 	return h
 }
@@ -176,7 +180,7 @@
 
 // begin takes a new key to its end.
 func (h *home) begin(b *book, r *Request, step ticket.Step, bound time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	ctx, cancel := context.WithTimeout(h.running, bound)
 	defer cancel()
 	if _, record := step.(ticket.StepRecord); record {
 		step = h.record(ctx, b, r, bound)
--- a/once/stop.go
+++ b/once/stop.go
@@ -30,8 +30,11 @@
 	}
 }
 
-// Close waits for the requests that were handed on.
-func (k *Keys) Close() { k.home.tasks.Wait() }
+// Close cancels the requests that were handed on and waits for their ends.
+func (k *Keys) Close() {
+	k.home.cancel()
+	k.home.tasks.Wait()
+}
 
 // Stop hands over the keys: those of which this process is the home to their
 // witnesses, and those that it recorded back to their homes. It returns once
--- a/once/witness.go
+++ b/once/witness.go
@@ -127,7 +127,9 @@
 	from := ticket.NewID(peer.Instance, peer.Incarnation)
 	switch m := message.(type) {
 	case *wire.Forward:
-		return k.handleForward(ctx, m)
+		if m.Scope == wire.ScopeHome {
+			return k.handleForward(ctx, m)
+		}
 	case *wire.KeyRecord:
 		key, err := ticket.ParseKey(m.Key)
 		if err != nil || key.Prefix().Home() != from {
