Let clocks of home and witness differ, and prove that it is safe

Cause: TestAtMostOnce gave all processes one clock. The release of a stopping witness had the same fault. A witness now accepts keys up to 30 s past their expiry, since the home refuses by its own clock anyway. Conclusion: with that, a prefix needs to live for 6 s only, which bounds a shutdown of home and witness at the same time.

--- a/once/stop.go
+++ b/once/stop.go
@@ -69,7 +69,7 @@
 	for {
 		reply, err := k.network.Call(ctx, message.Home.Instance(), &wire.KeyRelease{
 			Home: processToWire(message.Home), Witness: processToWire(message.Witness),
-			Sealed: rowsToWire(message.Sealed), Withdrawn: message.Withdrawn,
+			Sealed: rowsToWire(message.Sealed), ClosedUntil: message.ClosedUntil,
 		})
 		if taken, ok := reply.(*wire.KeyTaken); err == nil && ok && taken.Taken {
 			return
@@ -121,7 +121,7 @@
 // witness took it, no key of it runs here.
 func (h *home) handOver(ctx context.Context, b *book) {
 	b.mu.Lock()
-	handover, ok := b.ledger.Freeze()
+	handover, ok := b.ledger.Freeze(h.now())
 	b.mu.Unlock()
 	if !ok {
 		return
--- a/once/witness.go
+++ b/once/witness.go
@@ -44,7 +44,7 @@
 		s = &shelf{records: ticket.NewRecords(w.self, home, w.budget)}
 		w.shelves[home] = s
 		if w.stopping.Load() {
-			s.records.Release()
+			s.records.Release(w.now())
 		}
 	}
 	s.mu.Lock()
@@ -99,7 +99,7 @@
 	var messages []ticket.Release
 	for _, s := range shelves {
 		s.mu.Lock()
-		if message, ok := s.records.Release(); ok {
+		if message, ok := s.records.Release(w.now()); ok {
 			messages = append(messages, message)
 		}
 		s.mu.Unlock()
@@ -148,7 +148,7 @@
 	case *wire.KeyHandover:
 		return k.handleHandover(from, m)
 	case *wire.KeyRelease:
-		release := ticket.Release{Home: processFromWire(m.Home), Witness: processFromWire(m.Witness), Sealed: rowsFromWire(m.Sealed), Withdrawn: m.Withdrawn}
+		release := ticket.Release{Home: processFromWire(m.Home), Witness: processFromWire(m.Witness), Sealed: rowsFromWire(m.Sealed), ClosedUntil: m.ClosedUntil}
 		return &wire.KeyTaken{Taken: release.Witness == from && k.home.released(release)}
 	}
 	return nil
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -1,6 +1,9 @@
 package ticket
 
 import (
+	"math"
+	"time"
+
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 )
@@ -16,6 +19,8 @@
 	Witness     ID
 	Zone        place.Zone
 	LastExpires int64
+	// ClosedUntil is the last expiry, in Unix milliseconds, of the keys that
+	// must not run: withdrawn ones, and those expired by the home's clock.
 	ClosedUntil int64
 	// Refused are the keys that the home refused: they must never run.
 	Refused []HandoverKey
@@ -37,11 +42,11 @@
 // for the witness. Requests that wait for an acknowledgement must be taken in
 // again once the handover has ended. It returns false, and changes nothing,
 // unless the ledger is open.
-func (l *Ledger) Freeze() (Handover, bool) {
+func (l *Ledger) Freeze(now time.Time) (Handover, bool) {
 	if l.phase != phaseOpen {
 		return Handover{}, false
 	}
-	handover := Handover{Home: l.home, Witness: l.witness, Zone: l.zone, LastExpires: l.lastExpires, ClosedUntil: l.closedUntil}
+	handover := Handover{Home: l.home, Witness: l.witness, Zone: l.zone, LastExpires: l.lastExpires, ClosedUntil: max(l.closedUntil, now.UnixMilli())}
 	for s, e := range l.entries {
 		named := HandoverKey{Nonce: s.nonce, Number: s.number, Expires: e.expires, Digest: e.digest}
 		switch e.state {
@@ -180,20 +185,21 @@
 	Witness ID
 	// Sealed are the keys that must never run.
 	Sealed []HandoverKey
-	// Withdrawn: the sealed keys are too many to name, so every unused key
-	// must never run.
-	Withdrawn bool
+	// ClosedUntil is the last expiry, in Unix milliseconds, of the unused keys
+	// that must never run either. They expired by the clock of the witness, or
+	// the sealed keys are too many to name.
+	ClosedUntil int64
 }
 
 // Release ends the recording and sealing of keys and returns the message for
-// the home. It may be called again and returns the same. A home that took
-// over needs none, which is told by false.
-func (r *Records) Release() (Release, bool) {
+// the home. It may be called again. A home whose ledger was taken over needs no
+// message, which is told by false.
+func (r *Records) Release(now time.Time) (Release, bool) {
 	if r.adopted != nil {
 		return Release{}, false
 	}
 	r.released = true
-	release := Release{Home: r.home, Witness: r.witness}
+	release := Release{Home: r.home, Witness: r.witness, ClosedUntil: now.Add(-SkewMax).UnixMilli()}
 	for s, e := range r.entries {
 		if e.state == stateRefused {
 			release.Sealed = append(release.Sealed, HandoverKey{Nonce: s.nonce, Number: s.number, Expires: e.expires, Digest: e.digest})
@@ -201,7 +207,7 @@
 	}
 	if len(release.Sealed) > HandoverKeysMax {
 		release.Sealed = nil
-		release.Withdrawn = true
+		release.ClosedUntil = math.MaxInt64
 	}
 	return release, true
 }
@@ -214,9 +220,7 @@
 		return l.phase == phaseAlone
 	}
 	l.phase = phaseAlone
-	if release.Withdrawn {
-		l.withdraw()
-	}
+	l.withdraw(release.ClosedUntil)
 	for _, k := range release.Sealed {
 		l.seal(k)
 	}
@@ -226,11 +230,11 @@
 // unused tells whether the key is known and was never handed on.
 func (e *entry) unused() bool { return e.state == stateRecording || e.state == stateReserved }
 
-// withdraw refuses every key that was not handed on.
-func (l *Ledger) withdraw() {
-	l.closedUntil = l.lastExpires
+// withdraw refuses every unused key that expires no later than the given time.
+func (l *Ledger) withdraw(until int64) {
+	l.closedUntil = max(l.closedUntil, min(until, l.lastExpires))
 	for s, e := range l.entries {
-		if e.unused() {
+		if e.unused() && e.expires <= l.closedUntil {
 			l.seal(HandoverKey{Nonce: s.nonce, Number: s.number, Expires: e.expires, Digest: e.digest})
 		}
 	}
--- a/ticket/ledger_test.go
+++ b/ticket/ledger_test.go
@@ -134,7 +134,7 @@
 	p.ledger.Arrive(start, p.prefix.Key(2), 1, bound)
 	p.ledger.Refuse(start, p.prefix.Key(2), errs.ReasonNoWitness, "")
 	p.ledger.Arrive(start, p.prefix.Key(3), 1, bound)
-	handover, _ := p.ledger.Freeze()
+	handover, _ := p.ledger.Freeze(start)
 	adopted := p.records.Adopt(handover, ticket.NewBudget(limits))
 	p.ledger.Hand()
 	if _, moved := p.ledger.Arrive(start, p.prefix.Key(3), 1, bound).(ticket.StepMoved); !moved {
@@ -155,7 +155,7 @@
 func TestRelease(t *testing.T) {
 	p := newPair(limits)
 	p.records.Seal(start, p.prefix.Key(2), 1)
-	release, _ := p.records.Release()
+	release, _ := p.records.Release(start)
 	if !p.ledger.Release(release) {
 		t.Fatal("the home did not take the release")
 	}
--- a/ticket/limits.go
+++ b/ticket/limits.go
@@ -23,7 +23,7 @@
 // DefaultLimits returns the limits of one role of a process, home or witness.
 func DefaultLimits() Limits {
 	return Limits{
-		PrefixLife:     10 * time.Second,
+		PrefixLife:     6 * time.Second,
 		KeepTime:       90 * time.Second,
 		KeysMax:        100_000,
 		AnswerBytesMax: 32 << 10,
--- a/ticket/oracle_test.go
+++ b/ticket/oracle_test.go
@@ -92,6 +92,7 @@
 type node struct {
 	world       *world
 	id          ticket.ID
+	ahead       time.Duration
 	paused      bool
 	stopping    bool
 	ledgers     map[ticket.ID]map[ticket.ID]*ticket.Ledger
@@ -124,13 +125,16 @@
 func (n *node) start() {
 	n.world.started++
 	*n = node{
-		world: n.world, id: ticket.NewID(n.id.Instance(), n.world.started),
+		world: n.world, ahead: n.ahead, id: ticket.NewID(n.id.Instance(), n.world.started),
 		ledgers: map[ticket.ID]map[ticket.ID]*ticket.Ledger{}, records: map[ticket.ID]*ticket.Records{},
 		handovers: map[*ticket.Ledger]ticket.Handover{}, waiters: map[string][]*copied{},
 		homeBudget: ticket.NewBudget(limits), witnessPart: ticket.NewBudget(limits),
 	}
 }
 
+// now is the time by the node's own clock.
+func (n *node) now() time.Time { return n.world.now.Add(n.ahead) }
+
 func (w *world) node(id ticket.ID) *node {
 	for _, n := range w.nodes {
 		if n.id.Instance() == id.Instance() {
@@ -175,7 +179,7 @@
 		n.world.next(c)
 		return
 	}
-	n.follow(c, l.Arrive(n.world.now, c.key, c.digest, bound))
+	n.follow(c, l.Arrive(n.now(), c.key, c.digest, bound))
 }
 
 func (n *node) follow(c *copied, step ticket.Step) {
@@ -231,7 +235,7 @@
 		n.take(m.copied)
 	case record:
 		key := m.request.key
-		reply := n.witness(key.Prefix().Home()).Record(w.now, key, m.request.digest, bound)
+		reply := n.witness(key.Prefix().Home()).Record(n.now(), key, m.request.digest, bound)
 		w.send(w.node(key.Prefix().Home()), recorded{m.request, reply})
 	case recorded:
 		n.takeRecorded(m)
@@ -266,9 +270,9 @@
 	if l == nil || key.Prefix().Home() != n.id {
 		return
 	}
-	step := l.Acknowledge(n.world.now, key)
+	step := l.Acknowledge(n.now(), key)
 	if m.reply != ticket.RecordAcknowledged {
-		step = l.Refuse(n.world.now, key, errs.ReasonNoWitness, m.reply.String())
+		step = l.Refuse(n.now(), key, errs.ReasonNoWitness, m.reply.String())
 	}
 	n.takeStep(m.request, step)
 }
@@ -290,7 +294,7 @@
 	if c.stage != 1 {
 		return
 	}
-	switch s := n.witness(c.key.Prefix().Home()).Seal(n.world.now, c.key, c.digest).(type) {
+	switch s := n.witness(c.key.Prefix().Home()).Seal(n.now(), c.key, c.digest).(type) {
 	case ticket.SealNotRun:
 		n.world.tell(c, ticket.Refused(errs.NotRun(errs.ReasonLostHome, 0, "sealed")), false)
 	case ticket.SealKnown:
@@ -378,7 +382,7 @@
 		home.own(l)
 	}
 	w.started++
-	if prefix, ok := l.Issue(w.now, w.started); ok {
+	if prefix, ok := l.Issue(home.now(), w.started); ok {
 		w.prefixes = append(w.prefixes, prefix)
 	}
 }
@@ -457,7 +461,7 @@
 	c := pick(t, w.copies, "copy")
 	home := w.node(c.key.Prefix().Home())
 	if rapid.Bool().Draw(t, "at the home") && home.id == c.key.Prefix().Home() && !home.paused && home.ledger(c.key) != nil && len(home.waiters[c.key.String()]) > 0 {
-		home.takeStep(home.waiters[c.key.String()][0], home.ledger(c.key).Refuse(w.now, c.key, errs.ReasonNoWitness, "no acknowledgement"))
+		home.takeStep(home.waiters[c.key.String()][0], home.ledger(c.key).Refuse(home.now(), c.key, errs.ReasonNoWitness, "no acknowledgement"))
 		return
 	}
 	w.next(c)
@@ -471,7 +475,7 @@
 	}
 	n.stopping = true
 	for _, l := range sorted(n.ledgers[n.id]) {
-		if body, ok := l.Freeze(); ok {
+		if body, ok := l.Freeze(n.now()); ok {
 			n.handovers[l] = body
 		}
 		if body, ok := n.handovers[l]; ok {
@@ -479,7 +483,7 @@
 		}
 	}
 	for _, r := range sorted(n.records) {
-		if body, ok := r.Release(); ok {
+		if body, ok := r.Release(n.now()); ok {
 			w.send(w.node(body.Home), release{body})
 		}
 	}
@@ -501,12 +505,12 @@
 func (w *world) sweep(*rapid.T) {
 	for _, n := range w.nodes {
 		for _, l := range sorted(n.ledgers[n.id]) {
-			if l.Sweep(w.now) {
+			if l.Sweep(n.now()) {
 				delete(n.ledgers[n.id], l.Witness())
 			}
 		}
 		for home, r := range n.records {
-			if r.Sweep(w.now) {
+			if r.Sweep(n.now()) {
 				delete(n.records, home)
 			}
 		}
@@ -521,7 +525,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, now: time.UnixMilli(1_000_000)}
 		for _, name := range []string{"a", "b", "c"} {
-			n := &node{world: w, id: ticket.NewID(place.Instance(name), 0)}
+			ahead := time.Duration(rapid.SampledFrom([]int{0, 0, 10, 25, 70}).Draw(t, "ahead")) * time.Second
+			n := &node{world: w, ahead: ahead, id: ticket.NewID(place.Instance(name), 0)}
 			n.start()
 			w.nodes = append(w.nodes, n)
 		}
--- a/ticket/records.go
+++ b/ticket/records.go
@@ -10,6 +10,10 @@
 // clock may run faster than the home's.
 const finalMargin = 16
 
+// SkewMax is by how much the clock of a witness may run ahead of a home's
+// before it refuses keys that the home still accepts. Safety does not need it.
+const SkewMax = 30 * time.Second
+
 // fullPause is when to ask again after a witness had no room to seal a key.
 const fullPause = time.Second
 
@@ -92,7 +96,7 @@
 		}
 		return RecordAcknowledged
 	}
-	if !now.Before(key.prefix.Expires()) {
+	if !now.Before(key.prefix.Expires().Add(SkewMax)) {
 		return RecordExpired
 	}
 	if !r.budget.takeKey() {
@@ -143,7 +147,7 @@
 	if r.released {
 		return SealUnknown{why: "the home is gone, and its witness is stopping"}
 	}
-	if done, expired := judgeExpired(now, key.prefix.expires, r.budget.limits.KeepTime); expired {
+	if done, expired := judgeExpired(now.Add(-SkewMax), key.prefix.expires, r.budget.limits.KeepTime); expired {
 		return SealKnown(done)
 	}
 	if !r.budget.takeRefusal() {
@@ -171,7 +175,7 @@
 // dropped.
 func (r *Records) Sweep(now time.Time) bool {
 	for s, e := range r.entries {
-		if !now.Before(time.UnixMilli(e.expires).Add(r.budget.limits.KeepTime)) {
+		if !now.Before(time.UnixMilli(e.expires).Add(SkewMax + r.budget.limits.KeepTime)) {
 			r.forget(s)
 		}
 	}
--- a/wire/once.go
+++ b/wire/once.go
@@ -103,10 +103,10 @@
 
 // KeyRelease tells a home that its witness stops. It is answered by KeyTaken.
 type KeyRelease struct {
-	Home      KeyProcess `msgpack:"home"`
-	Witness   KeyProcess `msgpack:"witness"`
-	Sealed    []KeyRow   `msgpack:"sealed"`
-	Withdrawn bool       `msgpack:"withdrawn"`
+	Home        KeyProcess `msgpack:"home"`
+	Witness     KeyProcess `msgpack:"witness"`
+	Sealed      []KeyRow   `msgpack:"sealed"`
+	ClosedUntil int64      `msgpack:"closed_until"`
 }
 
 // KeyTaken tells whether the receiver did what it was asked for.
