Name another witness at once when one is silent

Cause: a paused witness let each request wait a second for its word; with a shorter wait, callers spent their attempts on prefixes that named it still.

--- a/entry/http.go
+++ b/entry/http.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	answer, err := e.Serve(context.Background(), r)
-	if e.leaving.Load() {
+	if e.leaving.Load() || (err != nil && lookAgain(err)) {
 		c.Set(HeaderLookup, "again")
 	}
 	if err != nil {
--- a/entry/once.go
+++ b/entry/once.go
@@ -112,6 +112,9 @@
 func (e *Entry) chooseWitness() {
 	for _, distance := range []int{1, 0, 2} {
 		zones := e.witnesses(distance)
+		if trusted := e.trusted(zones); len(trusted) > 0 {
+			zones = trusted
+		}
 		if len(zones) == 0 {
 			continue
 		}
@@ -124,6 +127,27 @@
 	e.once.ClearWitness()
 }
 
+// trusted returns the entries that were not silent of late.
+func (e *Entry) trusted(zones map[string]place.Zone) map[string]place.Zone {
+	found := map[string]place.Zone{}
+	for instance, zone := range zones {
+		if !e.once.Suspected(place.Instance(instance)) {
+			found[instance] = zone
+		}
+	}
+	return found
+}
+
+// lookAgain tells whether a refusal ends with the next look-up.
+func lookAgain(err error) bool {
+	switch errs.AsRefusal(err).Reason() {
+	case errs.ReasonNoWitness, errs.ReasonLostHome, errs.ReasonKeyExpired, errs.ReasonKeysFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // witnesses returns the zones of the live entries at a distance, by instance.
 func (e *Entry) witnesses(distance int) map[string]place.Zone {
 	found := map[string]place.Zone{}
--- a/once/home.go
+++ b/once/home.go
@@ -27,6 +27,7 @@
 	runner   Runner
 	now      func() time.Time
 	log      *logrus.Logger
+	silent   func(witness ticket.ID)
 	budget   *ticket.Budget
 	stopping atomic.Bool
 	tasks    conc.WaitGroup
@@ -224,11 +225,15 @@
 // sentence for a person.
 func (h *home) askRecord(ctx context.Context, r *Request, bound time.Duration) (ticket.RecordReply, string) {
 	to := r.key.Prefix().Witness()
+	if !h.network.Reachable(to.Instance()) {
+		return 0, "the witness " + string(to.Instance()) + " is silent; look up again for a new key"
+	}
 	reply, err := call(ctx, h.network, to, func() wire.Message {
 		return &wire.KeyRecord{Key: r.key.String(), Digest: uint64(r.digest), BoundMillis: bound.Milliseconds()}
 	})
 	recorded, ok := reply.(*wire.KeyRecorded)
 	if err != nil || !ok {
+		h.silent(to)
 		return 0, "the witness " + string(to.Instance()) + " does not answer; look up again for a new key"
 	}
 	return ticket.RecordReply(recorded.Reply), ticket.RecordReply(recorded.Reply).String()
--- a/once/once.go
+++ b/once/once.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,8 +24,8 @@
 // Times of the exchanges between processes.
 const (
 	// RecordTimeout bounds how long the home waits for the acknowledgement of
-	// the witness.
-	RecordTimeout = time.Second
+	// the witness, or for the answer to another message about keys.
+	RecordTimeout = 300 * time.Millisecond
 	// SealTimeout bounds how long an entry waits for the witness's word.
 	SealTimeout = time.Second
 	// BoundMax is the longest time after its arrival in which a request may be
@@ -38,6 +39,9 @@
 	// sealShare is the part of a request's time that is kept back for asking
 	// the witness: 1/sealShare, at most SealTimeout.
 	sealShare = 4
+	// suspectTime is how long a silent witness is not named in new prefixes. It
+	// is longer than the heartbeats need to tell.
+	suspectTime = 3 * time.Second
 	// callTries is how often a message that may be repeated is sent.
 	callTries = 2
 )
@@ -83,6 +87,9 @@
 	network Network
 	log     *logrus.Logger
 	choice  atomic.Pointer[choice]
+	// silent has the time at which each witness last left a home without an
+	// acknowledgement.
+	silent sync.Map
 }
 
 // choice is the witness that new prefixes name.
@@ -94,11 +101,10 @@
 // New makes the Keys of the process self. now must not go back; the time of
 // time.Now, which counts monotonically, does.
 func New(self ticket.ID, limits ticket.Limits, network Network, runner Runner, now func() time.Time, log *logrus.Logger) *Keys {
-	return &Keys{
-		home:    newHome(self, limits, network, runner, now, log),
-		witness: newWitness(self, limits, now),
-		network: network, log: log,
-	}
+	k := &Keys{witness: newWitness(self, limits, now), network: network, log: log}
+	k.home = newHome(self, limits, network, runner, now, log)
+	k.home.silent = k.suspect
+	return k
 }
 
 // SetWitness names the witness of new prefixes and its availability zone.
@@ -110,6 +116,25 @@
 // given out.
 func (k *Keys) ClearWitness() { k.choice.Store(nil) }
 
+// suspect stops the naming of a witness that gave no acknowledgement in time.
+func (k *Keys) suspect(witness ticket.ID) {
+	k.silent.Store(witness.Instance(), k.home.now())
+	if chosen := k.choice.Load(); chosen != nil && chosen.witness == witness {
+		k.choice.CompareAndSwap(chosen, nil)
+	}
+}
+
+// Suspected tells whether the instance lately gave no acknowledgement in time,
+// so that another should be the witness, if there is one.
+func (k *Keys) Suspected(instance place.Instance) bool {
+	at, known := k.silent.Load(instance)
+	if !known {
+		return false
+	}
+	when, ok := at.(time.Time)
+	return ok && k.home.now().Sub(when) < suspectTime
+}
+
 // Prefix returns a new key prefix for one look-up. It returns false if no
 // witness can be reached or the process stops.
 func (k *Keys) Prefix() (string, bool) {
