Treat targets that are nearly as quick as equal

Ruled out: a pure count in flight, which keeps sending to a slow target. Conclusion: a difference counts from one third on, and an old latency loses half its weight in 2 s instead of 5 s.

--- a/target/choose.go
+++ b/target/choose.go
@@ -43,12 +43,16 @@
 		return nil
 	}
 	first, second := twoOf(good)
-	if second.ExpectedTime(now) < first.ExpectedTime(now) {
+	if clearlyLess(second.ExpectedTime(now), first.ExpectedTime(now)) {
 		return second
 	}
 	return first
 }
 
+// clearlyLess tells whether a is less than two thirds of b. Smaller differences
+// are noise: following them would starve a target for one slow answer.
+func clearlyLess(a, b time.Duration) bool { return a+a/2 < b }
+
 func twoOf(clients []*Client) (first, second *Client) {
 	i := rand.IntN(len(clients)) //nolint:gosec // a choice, not a secret
 	if len(clients) == 1 {
@@ -69,6 +73,10 @@
 	return latency * time.Duration(c.inFlight.Load()+1)
 }
 
+// Latency returns how long an answer takes by what this process saw, 0 if the
+// target never answered it.
+func (c *Client) Latency(now time.Time) time.Duration { return c.observed.expected(now) }
+
 // LastReport returns the latest load report that Poll read. It is not Known
 // before the first one.
 func (c *Client) LastReport() Report {
--- a/target/choose_test.go
+++ b/target/choose_test.go
@@ -12,6 +12,7 @@
 func TestChoose(t *testing.T) {
 	now := time.Unix(1000, 0)
 	quick := func(o *observed) { o.answered(now, time.Millisecond) }
+	nearly := func(o *observed) { o.answered(now, 1400*time.Microsecond) }
 	quickLater := func(o *observed) { o.answered(now.Add(time.Minute), time.Millisecond) }
 	slow := func(o *observed) { o.answered(now, 100*time.Millisecond) }
 	unknown := func(*observed) {}
@@ -31,6 +32,7 @@
 	}{
 		"slow one is left to others":  {[]func(*observed){quick, slow}, 0, []bool{true, false}},
 		"slow one is tried again":     {[]func(*observed){quickLater, slow}, time.Minute, []bool{false, true}},
+		"nearly as quick":             {[]func(*observed){quick, nearly}, 0, []bool{true, true}},
 		"unknown is tried":            {[]func(*observed){unknown, slow}, 0, []bool{true, false}},
 		"half are gone":               {[]func(*observed){quick, dead, quick, dead}, 0, []bool{true, false, true, false}},
 		"gone ones are tried later":   {[]func(*observed){quick, dead}, time.Minute, []bool{true, true}},
--- a/target/observe.go
+++ b/target/observe.go
@@ -10,7 +10,7 @@
 const (
 	// latencyHalfLife is the time in which an old latency loses half its
 	// weight, so that a target that was slow is tried again.
-	latencyHalfLife = 5 * time.Second
+	latencyHalfLife = 2 * time.Second
 	// latencyShare is the weight of a new latency: 1/8.
 	latencyShare = 8
 	// asideMin and asideMax bound how long a target that fails is left alone.
