Lead requests to a zone's targets by budgets, and see what announces its leaving

Cause: tryTarget sent each request once, to a target that was gone, slow, full or leaving by its own word as to any other. Ruled out: polling only targets in use: the first request to a leaving target would come after its announcement.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	log      *logrus.Logger
 	stats    *Stats
 	once     *keptAnswers
+	budgets  budgets
 	view     atomic.Pointer[view]
 	tables   atomic.Pointer[config.Tables]
 	settled  atomic.Bool
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -28,9 +28,11 @@
 func (e *Entry) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	tasks.Go(func() { e.followRoster(ctx) })
+	tasks.Go(func() { e.followTargets(ctx) })
 	tasks.Go(func() { e.followSettings(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
 	tasks.Wait()
+	e.budgets.hedges.Wait()
 }
 
 func (e *Entry) followRoster(ctx context.Context) {
--- a/entry/route.go
+++ b/entry/route.go
@@ -13,7 +13,6 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -132,31 +131,6 @@
 	return usable
 }
 
-// tryTarget hands the request to the less busy of two random targets.
-func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	targets := v.usable(r.service, policy, e.self.Zone)
-	if len(targets) == 0 {
-		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	}
-	first := v.clients[targets[rand.IntN(len(targets))].Target]
-	second := v.clients[targets[rand.IntN(len(targets))].Target]
-	if second.InFlight() < first.InFlight() {
-		first = second
-	}
-	headers := make([]target.Header, 0, len(r.headers))
-	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
-	}
-	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
-	answer, err := first.Do(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	whole := answerToWire(answer)
-	whole.Target = first.Name()
-	return whole, nil
-}
-
 // forward hands a request to another entry and waits for its answer.
 func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
 	answer, err := e.pool.Call(ctx, instance, message)
--- a/entry/view.go
+++ b/entry/view.go
@@ -63,6 +63,6 @@
 // get new work.
 func (v *view) usable(service place.Service, policy *config.Policy, zone place.Zone) []store.Target {
 	return slices.DeleteFunc(slices.Clone(v.targets[service][zone]), func(t store.Target) bool {
-		return t.State == store.StateLeaving || policy.LeavingAt(t.Target, t.Zone)
+		return t.State == store.StateLeaving || policy.LeavingAt(t.Target, t.Zone) || v.leavingByItself(t)
 	})
 }
