Let callers of the load tool look up again at the entries they know

Cause: a caller whose entry was unreachable dropped the whole answer and asked only the first addresses it was given. Ruled out: a fault of the entries: every process of the fleet had been replaced, the first addresses were gone. Conclusion: the answer loses its validity, not its addresses.

--- a/load/lookup.go
+++ b/load/lookup.go
@@ -91,12 +91,15 @@
 	return asked, err
 }
 
-// forget drops a route whose entry asked the caller to look up again.
+// forget makes the next request look up again, at the entries that the route
+// named, because one of them asked for it or cannot be reached.
 func (r *resolver) forget(service place.Service, used *route) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if kept := r.routes[service]; kept != nil && kept.keyPrefix == used.keyPrefix {
-		delete(r.routes, service)
+		over := *kept
+		over.expires, over.comeBack = time.Time{}, time.Time{}
+		r.routes[service] = &over
 	}
 }
 
