Hand requests to a leaving entry when its zone has no other

Cause: peers took an entry that announced its shutdown for unusable at once, although it goes on serving. Ruled out: naming it in look-ups as well: callers would come back to it until it closes. After: tryZone offers a request to up to three entries that cannot be reached, those that leave last. Conclusion: a zone's last entry serves to its end; after it is gone its targets can't be reached.

--- a/entry/route.go
+++ b/entry/route.go
@@ -20,6 +20,10 @@
 // should come back.
 const ComeBack = 200 * time.Millisecond
 
+// forwardTries is how many entries of an availability zone a request is offered
+// to, as long as each cannot be reached.
+const forwardTries = 3
+
 // Serve leads one request of a caller to a target and returns the whole answer.
 // An error holds an *errs.Refusal, which says whether the request may have run.
 func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
@@ -112,11 +116,30 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
-	entries := e.reachable(v.zoneEntries[zone])
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
+		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun || errs.AsRefusal(err).Reason() != errs.ReasonPeerFailed {
+			return answer, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// forwardable returns the entries that a request may be handed to, at most
+// forwardTries. One that leaves still serves: it comes last.
+func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	usable := e.reachable(entries)
+	for _, entry := range entries {
+		health := e.heart.Health(entry.Instance)
+		leaving := entry.State == store.StateLeaving || health.Leaving()
+		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
+			usable = append(usable, entry)
+		}
 	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+	return usable[:min(len(usable), forwardTries)]
 }
 
 // reachable returns the entries that can be reached and don't leave, in random
