--- a/load/sum.go
+++ b/load/sum.go
@@ -52,8 +52,11 @@
 
 // Verification compares what callers were told with what targets ran.
 type Verification struct {
-	// Done tells whether the targets' logs were read.
+	// Done tells whether the logs of all targets were read.
 	Done bool `json:"done"`
+	// Unread is how many targets' logs could not be read, because the targets
+	// are gone. What they ran is unknown, so that Lost is not counted.
+	Unread int `json:"unread"`
 	// Lost requests were reported as run, and no target ran them.
 	Lost int `json:"lost"`
 	// Doubled are non-idempotent requests that ran more than once.
@@ -166,12 +169,13 @@
 
 // verify reads the targets' logs and looks for each attempt in them.
 func (c *caller) verify(summary *Summary) error {
-	ran, err := c.executions()
+	ran, unread, err := c.executions()
 	if err != nil {
 		return err
 	}
 	v := &summary.Verification
-	v.Done = true
+	v.Done = unread == 0
+	v.Unread = unread
 	for _, s := range c.sent {
 		count := 0
 		for _, a := range s.attempts {
@@ -180,7 +184,7 @@
 				v.NotRunThatRan++
 				v.example("request %s, key %q: reported as not run, ran %d times", a.id, a.key, ran[a.id])
 			}
-			if a.outcome == OutcomeRan && ran[a.id] == 0 {
+			if a.outcome == OutcomeRan && ran[a.id] == 0 && v.Done {
 				v.Lost++
 				v.example("request %s, key %q: reported as run, no target ran it", a.id, a.key)
 			}
@@ -194,14 +198,19 @@
 	return nil
 }
 
-// executions returns how often each attempt of this run was begun by a target.
-func (c *caller) executions() (map[string]int, error) {
-	ran := map[string]int{}
+// executions returns how often each attempt of this run was begun by a target,
+// and how many targets cannot be connected to.
+func (c *caller) executions() (ran map[string]int, unread int, err error) {
+	ran = map[string]int{}
 	for service, addresses := range c.options.Targets {
 		for _, address := range addresses {
 			log, err := ReadLog(address)
+			if err != nil && errs.VerdictOf(err) == errs.VerdictNotRun {
+				unread++
+				continue
+			}
 			if err != nil {
-				return nil, errors.Wrapf(err, "service %s", service)
+				return nil, unread, errors.Wrapf(err, "service %s", service)
 			}
 			for _, e := range log.Executions {
 				if strings.HasPrefix(e.Request, c.run) {
@@ -210,7 +219,7 @@
 			}
 		}
 	}
-	return ran, nil
+	return ran, unread, nil
 }
 
 // ReadLog reads what the target at the address ran.
--- a/suite/fleet_test.go
+++ b/suite/fleet_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,6 +20,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/load"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
@@ -259,6 +261,31 @@
 	return f.publish()
 }
 
+// putPolicy writes the settings of a service as its next version.
+func (f *fleet) putPolicy(service, policy string) error {
+	url := "http://" + f.platform + "/v1/objects/teams/" + service
+	var object struct {
+		Version uint64 `json:"version"`
+		Value   []byte `json:"value"`
+	}
+	var previous *config.Envelope
+	if text, err := f.send(http.MethodGet, url, ""); err == nil {
+		if err := json.Unmarshal(text, &object); err != nil {
+			return err
+		}
+		if previous, err = config.ParseEnvelope(object.Value); err != nil {
+			return err
+		}
+	}
+	change := fmt.Sprintf("change-%d", object.Version+1)
+	value, err := config.NewEnvelope(previous, "suite", change, time.Now(), []byte(policy)).Encode()
+	if err != nil {
+		return err
+	}
+	_, err = f.send(http.MethodPut, url+"?if_version="+strconv.FormatUint(object.Version, 10), string(value))
+	return err
+}
+
 // targets returns the addresses of all targets, by service.
 func (f *fleet) targets() map[place.Service][]string {
 	found := map[place.Service][]string{}
