Show retries, hedges and what is seen of targets in dump and metrics

Cause: operators could not see which target leaves by its own word, is slow, or why a request went twice. Ruled out: labels by target on the metrics, which grow with the fleet; the dump has them. Before: the dump named targets, their listed state and what is in flight. Conclusion: endivechute_retries_total and endivechute_hedges_total by service.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/endivechute/endivechute/budget"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -24,6 +26,7 @@
 	Peers       []DumpPeer      `json:"peers"`
 	Targets     []DumpTarget    `json:"targets"`
 	Services    []place.Service `json:"services"`
+	Budgets     []DumpBudget    `json:"budgets"`
 }
 
 // DumpPeer is what the process knows of another entry.
@@ -42,6 +45,22 @@
 	Service  place.Service `json:"service"`
 	State    store.State   `json:"listed_state"`
 	InFlight int           `json:"in_flight"`
+	// Leaving is what the target said of itself.
+	Leaving bool `json:"leaving"`
+	// ReportAgeMillis is the age of its last load report, -1 if there is none.
+	ReportAgeMillis int64 `json:"report_age_ms"`
+	// LatencyMillis is how long its answers take, 0 if it never answered.
+	LatencyMillis float64 `json:"latency_ms"`
+}
+
+// DumpBudget is what a service has spent on retries and hedged requests.
+type DumpBudget struct {
+	Service  place.Service `json:"service"`
+	Requests int64         `json:"requests"`
+	Retried  int64         `json:"retried"`
+	Hedged   int64         `json:"hedged"`
+	// HedgeAfterMillis is the 95th percentile of the latency, 0 if unknown.
+	HedgeAfterMillis float64 `json:"hedge_after_ms"`
 }
 
 // Dump returns the present state.
@@ -64,12 +83,31 @@
 	for service, zones := range v.targets {
 		dump.Services = append(dump.Services, service)
 		for _, t := range zones[e.self.Zone] {
-			dump.Targets = append(dump.Targets, DumpTarget{Target: t.Target, Service: service, State: t.State, InFlight: v.clients[t.Target].InFlight()})
+			dump.Targets = append(dump.Targets, dumpTarget(t, v.clients[t.Target], dump.At))
 		}
 	}
+	e.budgets.each(func(service place.Service, s *budget.Service) {
+		after, _ := s.HedgeDelay()
+		dump.Budgets = append(dump.Budgets, DumpBudget{
+			Service: service, Requests: s.Requests(), Retried: s.Retried(), Hedged: s.Hedged(), HedgeAfterMillis: inMillis(after),
+		})
+	})
+	return dump
+}
+
+func dumpTarget(listed store.Target, client *target.Client, now time.Time) DumpTarget {
+	dump := DumpTarget{
+		Target: listed.Target, Service: listed.Service, State: listed.State, InFlight: client.InFlight(),
+		Leaving: client.Leaving(), ReportAgeMillis: -1, LatencyMillis: inMillis(client.Latency(now)),
+	}
+	if report := client.LastReport(); report.Known() {
+		dump.ReportAgeMillis = report.Age(now).Milliseconds()
+	}
 	return dump
 }
 
+func inMillis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // rosterAge returns the age of the list of instances in milliseconds, or -1 if
 // none is known.
 func (e *Entry) rosterAge() int64 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
+	e.stats.registry.MustRegister(&e.budgets)
 	e.takeRoster(store.Roster{})
 	return e
 }
--- a/entry/local.go
+++ b/entry/local.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/budget"
@@ -45,6 +46,34 @@
 	return s
 }
 
+func (b *budgets) each(visit func(service place.Service, s *budget.Service)) {
+	b.services.Range(func(key, value any) bool {
+		service, _ := key.(place.Service)
+		s, _ := value.(*budget.Service)
+		visit(service, s)
+		return true
+	})
+}
+
+var (
+	retriesMetric = prometheus.NewDesc("endivechute_retries_total", "Requests sent to a further target after a refusal or failure.", []string{"service"}, nil)
+	hedgesMetric  = prometheus.NewDesc("endivechute_hedges_total", "Idempotent requests sent to a second target because the first was late.", []string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (b *budgets) Describe(metrics chan<- *prometheus.Desc) {
+	metrics <- retriesMetric
+	metrics <- hedgesMetric
+}
+
+// Collect implements prometheus.Collector.
+func (b *budgets) Collect(metrics chan<- prometheus.Metric) {
+	b.each(func(service place.Service, s *budget.Service) {
+		metrics <- prometheus.MustNewConstMetric(retriesMetric, prometheus.CounterValue, float64(s.Retried()), string(service))
+		metrics <- prometheus.MustNewConstMetric(hedgesMetric, prometheus.CounterValue, float64(s.Hedged()), string(service))
+	})
+}
+
 // tryTarget hands the request to a target of this availability zone, and within
 // the budgets of the service to further ones.
 func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
