--- a/entry/local.go
+++ b/entry/local.go
@@ -56,8 +56,8 @@
 }
 
 var (
-	retriesMetric = prometheus.NewDesc("endivechute_retries_total", "Requests sent to a further target after a refusal or failure.", []string{"service"}, nil)
-	hedgesMetric  = prometheus.NewDesc("endivechute_hedges_total", "Idempotent requests sent to a second target because the first was late.", []string{"service"}, nil)
+	retriesMetric = prometheus.NewDesc("endivechute_retries_total", "Requests sent to a further target after a refusal or failure.", []string{labelService}, nil)
+	hedgesMetric  = prometheus.NewDesc("endivechute_hedges_total", "Idempotent requests sent to a second target because the first was late.", []string{labelService}, nil)
 )
 
 // Describe implements prometheus.Collector.
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -9,6 +9,9 @@
 	"github.com/endivechute/endivechute/place"
 )
 
+// labelService is the label that names the service.
+const labelService = "service"
+
 // Stats holds the metrics of an entry process.
 type Stats struct {
 	registry *prometheus.Registry
@@ -24,12 +27,12 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "endivechute_requests_total",
 			Help: "Requests of callers that got their final answer, by verdict and reason.",
-		}, []string{"service", "verdict", "reason"}),
+		}, []string{labelService, "verdict", "reason"}),
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "endivechute_request_seconds",
 			Help:    "Time from a caller's request to its final answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
-		}, []string{"service"}),
+		}, []string{labelService}),
 		lookups: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "endivechute_lookups_total",
 			Help: "Look-ups that were answered.",
