--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,7 @@
 	log      *logrus.Logger
 	stats    *Stats
 	once     *once.Keys
+	budgets  budgets
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -52,6 +53,7 @@
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
+	e.stats.registry.MustRegister(&e.budgets)
 	e.takeRoster(store.Roster{})
 	return e
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -13,7 +13,6 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -21,6 +20,10 @@
 // should come back.
 const ComeBack = 200 * time.Millisecond
 
+// forwardTries is how many entries of an availability zone a request is offered
+// to, as long as each cannot be reached.
+const forwardTries = 3
+
 // Serve leads one request of a caller to a target and returns the whole answer.
 // An error holds an *errs.Refusal, which says whether the request may have run.
 func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
@@ -116,11 +119,30 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
-	entries := e.reachable(v.zoneEntries[zone])
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
+		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun || errs.AsRefusal(err).Reason() != errs.ReasonPeerFailed {
+			return answer, err
+		}
+		last = err
 	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+	return nil, last
+}
+
+// forwardable returns the entries that a request may be handed to, at most
+// forwardTries. One that leaves still serves: it comes last.
+func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	usable := e.reachable(entries)
+	for _, entry := range entries {
+		health := e.heart.Health(entry.Instance)
+		leaving := entry.State == store.StateLeaving || health.Leaving()
+		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
+			usable = append(usable, entry)
+		}
+	}
+	return usable[:min(len(usable), forwardTries)]
 }
 
 // reachable returns the entries that can be reached and don't leave, in random
@@ -135,31 +157,6 @@
 	return usable
 }
 
-// tryTarget hands the request to the less busy of two random targets.
-func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	targets := v.usable(r.service, policy, e.self.Zone)
-	if len(targets) == 0 {
-		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	}
-	first := v.clients[targets[rand.IntN(len(targets))].Target]
-	second := v.clients[targets[rand.IntN(len(targets))].Target]
-	if second.InFlight() < first.InFlight() {
-		first = second
-	}
-	headers := make([]target.Header, 0, len(r.headers))
-	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
-	}
-	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
-	answer, err := first.Do(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	whole := answerToWire(answer)
-	whole.Target = first.Name()
-	return whole, nil
-}
-
 // forward hands a request to another entry and waits for its answer.
 func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
 	answer, err := e.pool.Call(ctx, instance, message)
