--- a/entry/follow.go
+++ b/entry/follow.go
@@ -22,7 +22,11 @@
 	tasks.Go(func() { e.relay.Run(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
 	tasks.Go(func() { e.limits.run(ctx) })
+	tasks.Go(func() { e.once.Run(ctx) })
+	tasks.Go(func() { e.chooseWitnesses(ctx) })
 	tasks.Wait()
+	e.once.Close()
+	e.budgets.hedges.Wait()
 }
 
 // takeRoster makes a new list of instances known to the process. The seeds
--- a/entry/route.go
+++ b/entry/route.go
@@ -19,6 +19,10 @@
 // should come back.
 const ComeBack = 200 * time.Millisecond
 
+// forwardTries is how many entries of an availability zone a request is offered
+// to, as long as each cannot be reached.
+const forwardTries = 3
+
 // Serve leads one request of a caller to a target and returns the whole answer.
 // An error holds an *errs.Refusal, which says whether the request may have run.
 func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
@@ -31,6 +35,9 @@
 }
 
 func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	if r.key != "" {
+		return e.serveOnce(ctx, r)
+	}
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -40,7 +47,7 @@
 	defer cancel()
 	e.limits.arrive(r.service, policy)
 	if policy.NonIdempotent(r.method, r.plainPath()) {
-		return e.serveOnce(ctx, v, policy, r)
+		return nil, e.keyMissing(r)
 	}
 	return e.route(ctx, v, policy, r)
 }
@@ -62,6 +69,21 @@
 	return policy, nil
 }
 
+// forwardable returns the entries that a request may be handed to, at most
+// forwardTries. One that leaves still serves: it comes last.
+func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	usable := e.reachable(entries)
+	for _, entry := range entries {
+		health := e.heart.Health(entry.Instance)
+		leaving := entry.State == store.StateLeaving || health.Leaving()
+		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
+			usable = append(usable, entry)
+		}
+	}
+	return usable[:min(len(usable), forwardTries)]
+}
+
 // reachable returns the entries that can be reached and don't leave, in random
 // order.
 func (e *Entry) reachable(entries []store.Entry) []store.Entry {
@@ -128,12 +150,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	switch f.Scope {
-	case wire.ScopeHome:
-		return e.serveOnce(ctx, v, policy, r)
-	case wire.ScopeTarget:
+	if f.Scope == wire.ScopeTarget {
 		return e.sendKept(ctx, v, policy, r, f.Target)
-	case wire.ScopeZone:
 	}
 	return e.route(ctx, v, policy, r)
 }
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivechute/endivechute/budget"
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/keeper"
@@ -137,38 +138,55 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
-	entries := e.reachable(v.zoneEntries[zone])
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
+		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun || errs.AsRefusal(err).Reason() != errs.ReasonPeerFailed {
+			return answer, err
+		}
+		last = err
 	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+	return nil, last
 }
 
 // tryTarget hands the request to the better of two random targets of the zone,
-// through its keeper, and to the other if that one has no room.
+// through its keeper, and within the budgets of the service to further ones.
 func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
 	candidates := e.limits.candidates(v, policy, r.service)
-	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	for _, c := range steer.Choose(candidates, keeper.ServiceTimeFirst, rand.IntN) {
-		answer, err := e.tryKeeper(ctx, v, policy, r, c)
-		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
-			return answer, err
-		}
-		last = err
+	if len(candidates) == 0 {
+		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
 	}
-	return nil, last
+	route := budget.Route[place.Target, *wire.Answer]{
+		Pick: func(tried []place.Target) (place.Target, bool) {
+			left := slices.DeleteFunc(slices.Clone(candidates), func(c steer.Candidate) bool { return slices.Contains(tried, c.Target()) })
+			chosen := steer.Choose(left, keeper.ServiceTimeFirst, rand.IntN)
+			if len(chosen) == 0 {
+				return "", false
+			}
+			return chosen[0].Target(), true
+		},
+		Send: func(ctx context.Context, name place.Target) (*wire.Answer, error) {
+			return e.tryKeeper(ctx, v, policy, r, name)
+		},
+	}
+	idempotent := !policy.NonIdempotent(r.method, r.plainPath())
+	return budget.Run(ctx, e.budgets.of(r.service, policy, e.now()), &e.budgets.hedges, idempotent, route)
 }
 
-func (e *Entry) tryKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, c steer.Candidate) (*wire.Answer, error) {
-	if c.Keeper() == e.self.Instance {
-		return e.sendKept(ctx, v, policy, r, c.Target())
+// tryKeeper sends the request to the target through its keeper.
+func (e *Entry) tryKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, name place.Target) (*wire.Answer, error) {
+	k := (*e.limits.targets.Load())[name]
+	if k == nil {
+		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "instance %s doesn't know target %s", e.self.Instance, name)
 	}
-	if k := (*e.limits.targets.Load())[c.Target()]; k != nil {
-		k.sent.Add(1)
+	holder := *k.keeper.Load()
+	if k.hold.Held(e.limits.clock()) || holder == e.self.Instance {
+		return e.sendKept(ctx, v, policy, r, name)
 	}
+	k.sent.Add(1)
 	message := r.toWire(wire.ScopeTarget, e.now())
-	message.Target = c.Target()
-	return e.forward(ctx, c.Keeper(), message)
+	message.Target = name
+	return e.forward(ctx, holder, message)
 }
 
 // candidates returns the targets of the zone with what is known of each.
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -71,6 +71,13 @@
 	term  atomic.Uint64
 }
 
+// newHold returns the part of an entry that isn't the keeper.
+func newHold() *Hold {
+	h := &Hold{}
+	h.until.Store(-1 << 62)
+	return h
+}
+
 // Held tells whether this entry is the keeper at the time now. Every dispatch
 // has to ask it.
 func (h *Hold) Held(now time.Duration) bool { return int64(now) < h.until.Load() }
@@ -107,6 +114,7 @@
 	acks      map[place.Instance]time.Duration
 	ackAfter  time.Duration                    // leases asked for at or before it are void
 	newcomers map[place.Instance]time.Duration // until when they don't count
+	oldUntil  time.Duration                    // until when leases under an earlier view last
 	releasing bool
 	dueUntil  time.Duration // until when who gets the lease is due the ledger
 	hold      *Hold
@@ -142,13 +150,13 @@
 	for _, r := range resources {
 		wanted[r] = true
 		if l.seats[r] == nil {
-			l.seats[r] = &seat{acks: map[place.Instance]time.Duration{}, hold: &Hold{}, ackAfter: -1 << 62}
+			l.seats[r] = &seat{acks: map[place.Instance]time.Duration{}, hold: newHold(), ackAfter: -1 << 62, oldUntil: -1 << 62}
 		}
 		l.setElectors(l.seats[r], electorsOf(r, members), now)
 	}
 	for r, s := range l.seats {
 		if !wanted[r] {
-			s.hold.until.Store(-1 << 63)
+			s.hold.until.Store(-1 << 62)
 			delete(l.seats, r)
 		}
 	}
@@ -159,7 +167,8 @@
 // was no elector before, or is one entry alone; these don't count until every
 // lease under the old view has lapsed. For example, with the electors a, b, c
 // and then a, b, d, the entries b and c may still keep the resource while a has
-// the new view, so that d must not make a second majority with a yet.
+// the new view, so that d must not make a second majority with a yet. Leases
+// that this entry has under the old view last to their end.
 func (l *Leases) setElectors(s *seat, electors []place.Instance, now time.Duration) {
 	if slices.Equal(s.electors, electors) {
 		return
@@ -179,6 +188,7 @@
 		wait = now + LeaseTime + ViewSpread
 	}
 	s.openAt = max(s.openAt, wait)
+	s.oldUntil = s.hold.Until()
 	s.electors = electors
 	s.view = viewOf(electors)
 	s.recount(now)
@@ -194,12 +204,12 @@
 	}
 	majority := majorityOf(s.electors)
 	if len(s.electors) == 0 || len(times) < majority {
-		s.hold.until.Store(-1 << 63)
+		s.hold.until.Store(int64(s.oldUntil))
 		return
 	}
 	slices.Sort(times)
 	oldest := times[len(times)-majority]
-	s.hold.renew(oldest+LeaseTime-LeaseMargin, now)
+	s.hold.renew(max(s.oldUntil, oldest+LeaseTime-LeaseMargin), now)
 }
 
 // Hold returns this entry's part in the resource. It never holds if the
@@ -210,7 +220,7 @@
 	if s := l.seats[resource]; s != nil {
 		return s.hold
 	}
-	return &Hold{}
+	return newHold()
 }
 
 // Keeper returns the entry that this one takes for the keeper of the resource:
@@ -351,7 +361,8 @@
 	}
 	s.ackAfter = now
 	clear(s.acks)
-	s.hold.until.Store(-1 << 63)
+	s.oldUntil = -1 << 62
+	s.hold.until.Store(-1 << 62)
 	s.given.until = now
 	s.releasing = true
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -127,6 +127,7 @@
 	newSettings,
 	newRoster,
 	newLimits,
+	newOnce,
 }
 
 func newCore(k Kind) Message {
