Find the one zone that still answers; delete settings; close the stand-in at once

Cause: a zone that reaches a single other one met it only when its turn came; there was no command that deletes settings; a stand-in closed right after Listen went on serving, which hung TestPolicyCheck for the 10 minutes of go test's limit. Ruled out: asking every zone each round (39 messages a second and relay). TestCutZoneFollows keeps it under 19. Relays begin at different zones. Watches have 200 ms between them. plat.Server.Close closes the listener too (TestCloseRightAfterListen).

--- a/manage/manage_test.go
+++ b/manage/manage_test.go
@@ -113,6 +113,30 @@
 	}
 }
 
+func TestPolicyDelete(t *testing.T) {
+	tests := map[string]struct {
+		faults  plat.Faults
+		version uint64
+		want    manage.Outcome
+		text    string
+	}{
+		"plain":       {plat.Faults{}, 1, manage.OutcomeAccepted, "is deleted in version 2"},
+		"old version": {plat.Faults{}, 7, manage.OutcomeConflict, "is at version 1 by ana, not at 7"},
+		"lost reply":  {plat.Faults{LoseReplies: 1}, 1, manage.OutcomeUnchanged, "may have been another command"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "")
+			f.set(searchDesk, `{}`, 0, manage.OutcomeAccepted, "")
+			f.server.SetFaults(test.faults)
+			report, err := f.PolicyDelete(context.Background(), searchDesk, test.version)
+			if err != nil || report.Outcome() != test.want || !strings.Contains(report.Text(), test.text) {
+				t.Errorf("PolicyDelete gave outcome %d, %v: %s", report.Outcome(), err, report.Text())
+			}
+		})
+	}
+}
+
 func TestTokensKeepTeamsApart(t *testing.T) {
 	f := newFixture(t, "library-token")
 	f.server.SetTokens(map[string]string{"library-token": "teams/library", "bonds-token": "teams/bonoseguro"})
--- a/manage/status.go
+++ b/manage/status.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/iter"
 
+	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/store"
@@ -48,7 +49,9 @@
 	defer cancel()
 	objects, _, storeErr := o.store.List(listing, "")
 	for _, object := range objects {
-		newest[object.Path()] = object
+		if _, err := config.KindOf(object.Path()); err == nil {
+			newest[object.Path()] = object
+		}
 	}
 	out := tabwriter.NewWriter(o.out, 0, 0, tabPadding, ' ', 0)
 	if storeErr != nil {
@@ -75,6 +78,7 @@
 		state.err = err
 		return state
 	}
+	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		state.err = err
--- a/manage/write.go
+++ b/manage/write.go
@@ -118,6 +118,7 @@
 	// problem tells why the object can't be read as settings; it may still be
 	// replaced.
 	problem error
+	deleted bool
 }
 
 func (c current) author() string {
@@ -139,6 +140,7 @@
 	}
 	found := current{path: path, version: object.Version(), body: []byte("{}")}
 	if object.Deleted() {
+		found.deleted = true
 		return found, nil
 	}
 	found.envelope, found.problem = config.ParseEnvelope(object.Value())
--- a/plat/server.go
+++ b/plat/server.go
@@ -81,7 +81,7 @@
 	}
 	s.listener = listener
 	s.serving.Go(func() {
-		if err := s.app.Listener(listener); err != nil {
+		if err := s.app.Listener(listener); err != nil && !errors.Is(err, net.ErrClosed) {
 			s.log.WithError(err).Error("Serving ended.")
 		}
 	})
@@ -91,10 +91,12 @@
 // Addr returns the address "host:port" that the server listens at.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close ends all watches and stops serving.
+// Close ends all watches and stops serving. The listener is closed too, since
+// a shutdown that comes before the serving goroutine has begun closes nothing.
 func (s *Server) Close() error {
 	close(s.closed)
 	err := s.app.ShutdownWithTimeout(closeTimeout)
+	_ = s.listener.Close()
 	s.serving.Wait()
 	return errors.Wrap(err, "stop serving")
 }
--- a/plat/server_test.go
+++ b/plat/server_test.go
@@ -169,3 +169,15 @@
 	server.SetFaults(plat.Faults{})
 	want("present", after)
 }
+
+func TestCloseRightAfterListen(t *testing.T) {
+	for range 200 {
+		server := plat.New(logs.Discard())
+		if err := server.Listen("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		if err := server.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/relay/follow.go
+++ b/relay/follow.go
@@ -29,13 +29,16 @@
 	r.mu.Lock()
 	r.fails = 0
 	r.mu.Unlock()
+	if known := r.revision.Load(); revision < known {
+		r.log.WithField("revision", revision).WithField("known", known).Error("The store went back; what it holds is taken only where its versions are greater.")
+	}
 	news := r.take(objects)
 	if r.IsRelay() {
 		r.enqueue(handOn{root: r.self.Instance, objects: news})
 	}
 	r.confirm(revision, asked)
 	r.becomeReady("store")
-	return 0
+	return WatchPause
 }
 
 // mayJoinByStore tells whether a new process has waited long enough for its
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,6 +34,9 @@
 	RoundInterval = time.Second
 	// WatchWait is how long one watch waits for a change.
 	WatchWait = 20 * time.Second
+	// WatchPause is the time between two watches. Changes that come in it are
+	// taken together, so that a burst costs a relay few calls.
+	WatchPause = 200 * time.Millisecond
 	// ListTimeout bounds the reading of all objects.
 	ListTimeout = 15 * time.Second
 	// watchTimeout bounds a watch: its wait and the time of a slow store.
@@ -94,6 +97,7 @@
 	now    func() time.Time
 	log    *logrus.Logger
 
+	parallel func(tasks []func())
 	tables   atomic.Pointer[config.Tables]
 	ready    atomic.Bool
 	revision atomic.Uint64
@@ -113,6 +117,10 @@
 	ahead  map[place.Instance]bool
 	joined map[place.Instance]bool
 	rounds uint64
+	// width is how many other zones the next round compares with.
+	width int
+	// anchor is the zone that answered last.
+	anchor place.Zone
 	fails  int
 	waited int
 }
@@ -123,9 +131,12 @@
 	r := &Relay{
 		self: self, store: platform, caller: caller, view: view, now: now, log: log,
 		queue: make(chan handOn, queueLength), wake: make(chan struct{}, 1),
-		random: rand.New(rand.NewPCG(xxhash.Sum64String(string(self.Instance)), self.Incarnation)),
-		ahead:  map[place.Instance]bool{}, joined: map[place.Instance]bool{},
+		random:   rand.New(rand.NewPCG(xxhash.Sum64String(string(self.Instance)), self.Incarnation)),
+		parallel: inParallel, width: zonesPerRound,
+		ahead: map[place.Instance]bool{}, joined: map[place.Instance]bool{},
 	}
+	// Relays begin at different zones, so that no zone is asked by all of them.
+	r.rounds = r.random.Uint64N(1 << 32)
 	r.tables.Store(tables)
 	return r
 }
@@ -135,6 +146,24 @@
 // has to be called before Run.
 func (r *Relay) OnChange(listener func(*config.Tables)) { r.listeners = append(r.listeners, listener) }
 
+// CallInOrder makes the relay call its peers one after another, for tests that
+// want the same order in each run. It has to be called before Run.
+func (r *Relay) CallInOrder() {
+	r.parallel = func(tasks []func()) {
+		for _, task := range tasks {
+			task()
+		}
+	}
+}
+
+func inParallel(tasks []func()) {
+	var group conc.WaitGroup
+	for _, task := range tasks {
+		group.Go(task)
+	}
+	group.Wait()
+}
+
 // Tables returns the settings in force. It takes no lock.
 func (r *Relay) Tables() *config.Tables { return r.tables.Load() }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
@@ -45,13 +46,15 @@
 	// cut holds the zones that reach neither the store nor other zones;
 	// noStore those that reach other zones only.
 	cut, noStore map[place.Zone]bool
-	processes    map[place.Instance]*relay.Relay
-	zones        map[place.Instance]place.Zone
-	watches      int
-	reads        int
-	messages     int
-	bytes        int
-	inForce      map[place.Instance]map[string]uint64
+	// lonely is a zone that reaches nothing but one neighbour.
+	lonely, neighbour place.Zone
+	processes         map[place.Instance]*relay.Relay
+	zones             map[place.Instance]place.Zone
+	watches           int
+	reads             int
+	messages          int
+	bytes             int
+	inForce           map[place.Instance]map[string]uint64
 	// handed are the messages that were handed on so far; any may come again.
 	handed []*wire.Settings
 }
@@ -74,7 +77,7 @@
 
 func (e edge) reach() error {
 	zone := e.world.zones[e.instance]
-	if e.world.down || e.world.cut[zone] || e.world.noStore[zone] {
+	if e.world.down || e.world.cut[zone] || e.world.noStore[zone] || zone == e.world.lonely {
 		return errCut
 	}
 	return nil
@@ -105,6 +108,9 @@
 	w := e.world
 	from := w.zones[e.instance]
 	peer, lives := w.processes[to]
+	if from != w.zones[to] && (w.lonely == from && w.neighbour != w.zones[to] || w.lonely == w.zones[to] && w.neighbour != from) && w.lonely != "" {
+		return nil, errCut
+	}
 	if !lives || (from != w.zones[to] && (w.cut[from] || w.cut[w.zones[to]])) {
 		return nil, errCut
 	}
@@ -117,19 +123,16 @@
 	return answer, nil
 }
 
-// size is about what a message takes on the wire, in bytes.
+// frameBytes is what a frame adds to a message on the wire.
+const frameBytes = 14
+
+// size is what a message takes on the wire, in bytes.
 func size(message wire.Message) int {
-	bytes := 60
-	if settings, ok := message.(*wire.Settings); ok {
-		for _, o := range settings.Objects {
-			bytes += len(o.Value) + len(o.Path) + 30
-		}
-		bytes += 70 * len(settings.Versions)
-	}
-	if pull, ok := message.(*wire.SettingsPull); ok {
-		bytes += 9*len(pull.Buckets) + 50*len(pull.Paths)
+	packed, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
 	}
-	return bytes
+	return frameBytes + len(packed)
 }
 
 func (w *world) start(instance place.Instance, zone place.Zone) *relay.Relay {
@@ -137,6 +140,7 @@
 	w.zones[instance] = zone
 	process := relay.New(wire.Hello{Instance: instance, Zone: zone}, config.NewTables(zone.Region(), nil), e, e,
 		func() relay.View { return w.view(zone) }, func() time.Time { return w.now }, logs.Discard())
+	process.CallInOrder()
 	w.processes[instance] = process
 	w.inForce[instance] = map[string]uint64{}
 	return process
@@ -348,7 +352,7 @@
 		}
 		w.start("other", "huye/a")
 		for i := range 100 {
-			w.write(fmt.Sprintf("teams/a/s%d", i), good(1), false)
+			w.write(fmt.Sprintf("teams/b/s%d", i), good(1), false)
 		}
 		w.stepAll(12)
 		idleMessages, idleBytes, idleWatches := w.messages, w.bytes, w.watches
@@ -356,20 +360,56 @@
 		idle := w.messages - idleMessages
 		idleBytes = w.bytes - idleBytes
 		idleWatches = w.watches - idleWatches
-		version := w.write("teams/a/s0", good(2), false)
-		before, bytesBefore, rounds := w.messages, w.bytes, 0
-		for ; !w.allHold("teams/a/s0", version); rounds++ {
-			if rounds == 30 {
-				t.Fatalf("%d members: the change is not in force after %d rounds", members, rounds)
-			}
-			w.stepAll(1)
-		}
+		before, bytesBefore := w.messages, w.bytes
+		rounds := w.roundsUntilInForce(t)
 		t.Logf("%d members: idle %.1f messages and %.0f bytes a member and second, %.1f watch calls a round; a change was in force after %d rounds with %d messages, %d bytes a member",
 			members, float64(idle)/10/float64(members), float64(idleBytes)/10/float64(members), float64(idleWatches)/10,
 			rounds, w.messages-before, (w.bytes-bytesBefore)/members)
 	}
 }
 
+// TestCutZoneFollows wants a zone that is cut from the store and from all zones
+// but one to follow within spreadRoundsMost, and logs how long it took at the
+// numbers of zones of today and of the target.
+func TestCutZoneFollows(t *testing.T) {
+	for _, zones := range []int{6, 16, 40} {
+		first, later := 0, 0
+		for neighbour := 1; neighbour < zones; neighbour += max(1, zones/8) {
+			w := newWorld()
+			for i := range 3 * zones {
+				w.start(place.Instance(fmt.Sprintf("e%03d", i)), place.Zone(fmt.Sprintf("r%d/a", i%zones)))
+			}
+			w.write("teams/a/x", good(1), false)
+			w.stepAll(5)
+			w.lonely, w.neighbour = "r0/a", place.Zone(fmt.Sprintf("r%d/a", neighbour))
+			first = max(first, w.roundsUntilInForce(t))
+			for range 5 {
+				later = max(later, w.roundsUntilInForce(t))
+			}
+		}
+		t.Logf("%d zones of 3 members, one of which reaches a single other zone: the first change after the cut was in force everywhere after %d rounds of %v at most, later ones after %d", zones, first, relay.RoundInterval, later)
+		if first > spreadRoundsMost || later > spreadRoundsMost {
+			t.Errorf("%d zones: a change took %d and %d rounds, want %d at most", zones, first, later, spreadRoundsMost)
+		}
+	}
+}
+
+// spreadRoundsMost is the stated time of a change, 19 s, in rounds of 1 s.
+const spreadRoundsMost = 19
+
+func (w *world) roundsUntilInForce(t *testing.T) int {
+	t.Helper()
+	version := w.write("teams/a/x", good(1), false)
+	for rounds := range 30 {
+		if w.allHold("teams/a/x", version) {
+			return rounds
+		}
+		w.stepAll(1)
+	}
+	t.Fatal("the change is not in force after 30 rounds")
+	return 0
+}
+
 func (w *world) allHold(path string, version uint64) bool {
 	for _, process := range w.processes {
 		if process.Tables().Version(path).InForce() != version {
--- a/relay/round.go
+++ b/relay/round.go
@@ -17,45 +17,102 @@
 // Round compares digests with one other member of the zone and, on a relay,
 // with a member of some other zones, and then pulls from those that are ahead.
 func (r *Relay) Round(ctx context.Context) {
-	for _, peer := range r.partners() {
-		answer, err := r.call(ctx, peer, r.digest())
-		if err != nil {
-			continue
-		}
-		if digest, ok := answer.(*wire.SettingsDigest); ok {
-			r.compare(peer, digest)
-		}
+	view := r.view()
+	near := r.nearPartner(view)
+	far := r.farPartners(view)
+	answered := make([]bool, len(far))
+	tasks := make([]func(), 0, len(far)+1)
+	if near != "" {
+		tasks = append(tasks, func() { r.meet(ctx, near) })
 	}
+	for i, p := range far {
+		tasks = append(tasks, func() { answered[i] = r.meet(ctx, p.instance) })
+	}
+	r.parallel(tasks)
+	r.adapt(view, far, answered)
 	r.pullFromAhead(ctx)
 }
 
-// partners chooses whom to compare with in this round. The zones take turns,
-// so that a zone which reaches a single other one meets it soon. A process
-// that is not ready yet asks other zones too, since its own may be starting.
-func (r *Relay) partners() []place.Instance {
-	r.mu.Lock()
-	r.rounds++
-	turn := r.rounds
-	r.mu.Unlock()
-	view := r.view()
+// meet exchanges digests with a peer and tells whether it answered.
+func (r *Relay) meet(ctx context.Context, peer place.Instance) bool {
+	answer, err := r.call(ctx, peer, r.digest())
+	if err != nil {
+		return false
+	}
+	digest, ok := answer.(*wire.SettingsDigest)
+	if ok {
+		r.compare(peer, digest)
+	}
+	return ok
+}
+
+// nearPartner chooses another member of the zone, "" if there is none.
+func (r *Relay) nearPartner(view View) place.Instance {
 	members := slices.DeleteFunc(slices.Clone(view.zone), func(m place.Instance) bool { return m == r.self.Instance })
-	var partners []place.Instance
-	if len(members) > 0 {
-		partners = append(partners, members[r.below(len(members))])
+	if len(members) == 0 {
+		return ""
 	}
+	return members[r.below(len(members))]
+}
+
+// partner is a relay of another zone.
+type partner struct {
+	zone     place.Zone
+	instance place.Instance
+}
+
+// farPartners chooses relays of other zones: of the zone that answered last and
+// of others in turn. A process that is not ready yet asks other zones even if
+// it is no relay, since its own may be starting.
+func (r *Relay) farPartners(view View) []partner {
 	if !slices.Contains(relaysOf(view.zone), r.self.Instance) && r.Ready() {
-		return partners
+		return nil
 	}
 	zones := slices.Sorted(maps.Keys(view.others))
-	for i := range min(zonesPerRound, len(zones)) {
-		zone := zones[(int(turn)*zonesPerRound+i)%len(zones)]
+	r.mu.Lock()
+	width := min(r.width, len(zones))
+	first := int(r.rounds % uint64(max(1, len(zones))))
+	r.rounds += uint64(width)
+	anchor := r.anchor
+	r.mu.Unlock()
+	var chosen []place.Zone
+	if len(view.others[anchor]) > 0 {
+		chosen = append(chosen, anchor)
+	}
+	for i := range zones {
+		zone := zones[(first+i)%len(zones)]
+		if len(chosen) < width && zone != anchor {
+			chosen = append(chosen, zone)
+		}
+	}
+	partners := make([]partner, 0, len(chosen))
+	for _, zone := range chosen {
 		if relays := relaysOf(view.others[zone]); len(relays) > 0 {
-			partners = append(partners, relays[r.below(len(relays))])
+			partners = append(partners, partner{zone: zone, instance: relays[r.below(len(relays))]})
 		}
 	}
 	return partners
 }
 
+// adapt notes who answered. While no other zone answers, each round asks twice
+// as many, so that a zone which reaches a single other one finds it soon.
+func (r *Relay) adapt(view View, asked []partner, answered []bool) {
+	if len(asked) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, p := range asked {
+		if answered[i] {
+			r.anchor = p.zone
+			r.width = zonesPerRound
+			return
+		}
+	}
+	r.anchor = ""
+	r.width = min(2*r.width, max(zonesPerRound, len(view.others)))
+}
+
 // digest sums up what this process holds. The revision is read before the
 // tables: tables only grow, so they hold everything up to it.
 func (r *Relay) digest() *wire.SettingsDigest {
--- a/relay/spread.go
+++ b/relay/spread.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
 	"github.com/endivechute/endivechute/wire"
@@ -48,11 +46,11 @@
 	children := childrenOf(job.root, r.self.Instance, r.view().zone)
 	for _, part := range split(job.objects) {
 		message := &wire.Settings{Root: string(job.root), Objects: part}
-		var tasks conc.WaitGroup
+		tasks := make([]func(), 0, len(children))
 		for _, child := range children {
-			tasks.Go(func() { r.give(ctx, child, message) })
+			tasks = append(tasks, func() { r.give(ctx, child, message) })
 		}
-		tasks.Wait()
+		r.parallel(tasks)
 	}
 }
 
