--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,10 +20,10 @@
 	var tasks conc.WaitGroup
 	tasks.Go(func() { e.roster.Run(ctx) })
 	tasks.Go(func() { e.relay.Run(ctx) })
-	tasks.Go(func() { e.followTargets(ctx) })
 	tasks.Go(func() { e.heart.Run(ctx) })
 	tasks.Go(func() { e.once.Run(ctx) })
 	tasks.Go(func() { e.chooseWitnesses(ctx) })
+	tasks.Go(func() { e.limits.run(ctx) })
 	tasks.Wait()
 	e.once.Close()
 	e.budgets.hedges.Wait()
