Add member: who runs in a zone, in 3 KB a second

Cause: at 110 entries a zone and 40 zones, heartbeats from all to all cost a node 76 KB/s and two relays of a zone 38 KB/s each (BenchmarkOtherWays, real message sizes, both ends, 66 bytes of headers a message); the budget is 3. Ruled out: both of these. Ring, random and tree heartbeats apart (10 messages/s: 5.4 KB/s at 110 while news of a start still spread). Believing others that a member is dead: an entry that had been cut off then had all others count each other as dead for about a second on its return (found by the oracle test). Before: nothing but the plain heartbeats. Conclusion: one ring heartbeat and one other a second, with answers that tell as much, rumours on both, a tree for sums.

--- /dev/null
+++ b/member/bench_test.go
@@ -0,0 +1,179 @@
+package member_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivechute/endivechute/member"
+	"github.com/endivechute/endivechute/wire"
+)
+
+const (
+	// headerBytes is what TCP, IP and Ethernet add to a message that fits one
+	// packet.
+	headerBytes = 66
+	benchTime   = 60 * time.Second
+	benchWarm   = 120 * time.Second
+	benchJoin   = 30 * time.Second
+)
+
+var benchMembers = []int{3, 30, 110}
+
+func eachZone(b *testing.B, run func(b *testing.B, members int)) {
+	for _, members := range benchMembers {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) { run(b, members) })
+	}
+}
+
+// BenchmarkZone measures what heartbeats cost one node in a zone of a fleet of
+// 40 zones in which nothing happens: sent and received bytes, messages, and
+// processor time, the coding of messages included.
+func BenchmarkZone(b *testing.B) {
+	eachZone(b, func(b *testing.B, members int) {
+		zones := slices.Repeat([]int{3}, 40)
+		zones[0] = members
+		var n *network
+		for b.Loop() {
+			n = newNetwork(1, zones...)
+			n.run(benchWarm, func() {})
+			n.counts = true
+			n.run(benchTime, func() {})
+		}
+		seconds := benchTime.Seconds()
+		total, calls, worst, worstCalls := 0, 0, 0, 0
+		ages, known := time.Duration(0), 0
+		for _, o := range n.nodes[:members] {
+			total, calls = total+o.bytes, calls+o.calls
+			worst, worstCalls = max(worst, o.bytes+o.calls*headerBytes), max(worstCalls, o.calls)
+			for _, z := range o.view.Zones() {
+				ages, known = ages+n.now.Sub(z.Taken()), known+1
+			}
+		}
+		nodeSeconds := seconds * float64(members)
+		b.ReportMetric(float64(total)/nodeSeconds, "B/s/node")
+		b.ReportMetric(float64(total+calls*headerBytes)/nodeSeconds, "B/s/node-with-headers")
+		b.ReportMetric(float64(worst)/seconds, "B/s/worst-node-with-headers")
+		b.ReportMetric(float64(calls)/nodeSeconds, "messages/s/node")
+		b.ReportMetric(ages.Seconds()/float64(known), "s-since-zone-sum")
+		b.ReportMetric(float64(known)/float64(members), "zone-sums/node")
+	})
+}
+
+// BenchmarkZoneProcessor measures the processor time of one member for one
+// second of heartbeats, both ends of each call shared between the members.
+func BenchmarkZoneProcessor(b *testing.B) {
+	eachZone(b, func(b *testing.B, members int) {
+		n := newNetwork(1, members)
+		n.run(benchWarm, func() {})
+		before := heapBytes()
+		n.counts = true
+		for b.Loop() {
+			n.run(time.Second, func() {})
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*members), "ns/node-second")
+		b.ReportMetric(float64(before)/float64(members), "heap_B/node")
+	})
+}
+
+// BenchmarkDetect measures the longest time, over seeds, until every member of
+// the zone knows of what happened to one.
+func BenchmarkDetect(b *testing.B) {
+	const seeds = 8
+	alive, dead, leaving := member.StateAlive, member.StateDead, member.StateLeaving
+	events := []struct {
+		unit   string
+		act    func(n *network)
+		wanted member.State
+	}{
+		{"s-silent-death", func(n *network) { n.kill(1) }, dead},
+		{"s-refused-death", func(n *network) { n.refuses = true; n.kill(1) }, dead},
+		{"s-leaving", func(n *network) { n.nodes[1].view.Leave() }, leaving},
+		{"s-replaced", func(n *network) { n.kill(1); n.start(1) }, alive},
+	}
+	eachZone(b, func(b *testing.B, members int) {
+		for b.Loop() {
+			for _, e := range events {
+				worst := time.Duration(0)
+				for seed := range uint64(seeds) {
+					n := newNetwork(seed, members)
+					n.run(benchJoin, func() {})
+					e.act(n)
+					took, ok := n.until(1, time.Minute, e.wanted)
+					if !ok {
+						b.Fatalf("seed %d: not known to all after %s", seed, took)
+					}
+					worst = max(worst, took)
+				}
+				b.ReportMetric(worst.Seconds(), e.unit)
+			}
+		}
+	})
+}
+
+// BenchmarkPause measures the share of pauses of one member after which some
+// other one counts it as dead.
+func BenchmarkPause(b *testing.B) {
+	const seeds = 10
+	for _, length := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second, 8 * time.Second} {
+		b.Run(fmt.Sprintf("pause=%s", length), func(b *testing.B) {
+			for b.Loop() {
+				taken := 0
+				for seed := range uint64(seeds) {
+					n := newNetwork(seed, 110)
+					n.run(benchJoin, func() {})
+					n.pause(1, length)
+					dead := false
+					n.run(length+10*time.Second, func() { dead = dead || n.anyCounts(1, member.StateDead) })
+					if dead {
+						taken++
+					}
+				}
+				b.ReportMetric(float64(taken)/seeds, "counted-dead")
+			}
+		})
+	}
+}
+
+func (n *network) anyCounts(of int, state member.State) bool {
+	for _, o := range n.nodes {
+		if n.state(o, of) == state {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkOtherWays works out, from the sizes of real messages, what the ways
+// that were not taken would cost at one heartbeat a second: all to all, and
+// through two relays. Both ends of a message count.
+func BenchmarkOtherWays(b *testing.B) {
+	eachZone(b, func(b *testing.B, members int) {
+		rumour := wire.MemberRumour{Instance: "entry-00-001", Address: "10.100.200.100:7001", Incarnation: 1 << 60}
+		beat := &wire.MemberBeat{Sender: rumour, Zone: "region-1/zone-1", View: 1 << 60, Settings: 1 << 60, Sum: &wire.MemberSum{Members: 1}}
+		bytes := 0
+		for b.Loop() {
+			packed, err := msgpack.Marshal(beat)
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes = len(packed)
+		}
+		call := float64(2 * (bytes + frameBytes + headerBytes)) // a heartbeat and its answer
+		b.ReportMetric(2*float64(members-1)*call, "B/s/node-all-to-all")
+		b.ReportMetric(float64(members-1)*call, "B/s/relay-of-two")
+		b.ReportMetric(2*call, "B/s/member-of-two-relays")
+	})
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/wire/message.go
+++ b/wire/message.go
@@ -122,6 +122,7 @@
 // empty message of a kind, or returns nil for a kind of another part.
 var makers = []func(Kind) Message{
 	newCore,
+	newMember,
 }
 
 func newCore(k Kind) Message {
@@ -140,8 +141,9 @@
 		return &Beat{}
 	case KindBeatAck:
 		return &BeatAck{}
+	default:
+		return nil
 	}
-	return nil
 }
 
 func pack(m Message) ([]byte, error) {
