--- a/target/report.go
+++ b/target/report.go
@@ -48,9 +48,8 @@
 // it was asked for.
 func (c *Client) Report(ctx context.Context) (Report, error) {
 	asked := time.Now()
-	request := NewRequest("GET", "/load", time.Time{})
-	request.answerBytes = reportBytesMax
-	answer, err := c.Do(ctx, request)
+	request := NewRequest("GET", "/load", time.Time{}).WithAnswerBytesMax(reportBytesMax)
+	answer, err := c.do(ctx, request)
 	if err != nil {
 		return Report{}, err
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -122,6 +122,8 @@
 // empty message of a kind, or returns nil for a kind of another part.
 var makers = []func(Kind) Message{
 	newCore,
+	newSettings,
+	newRoster,
 	newMember,
 }
 
