Believe no tale of a death from others

Ruled out: leaving dead members out of a full answer; a member that is held as alive would then never be asked to contradict. Conclusion: the word of others makes a suspect at most; that one is dead of which nothing was known is ignored, which also keeps forgotten deaths from going round for ever.

--- a/member/record.go
+++ b/member/record.go
@@ -118,9 +118,8 @@
 // It is not enough to count the member as dead: it becomes a suspect and has
 // DeadAfter to contradict. Otherwise one process that was cut off, and took
 // everyone for dead, would have all the others believe it on its return.
-func doubted(held, heard wire.MemberRumour) wire.MemberRumour {
-	sameProcess := held.Incarnation == heard.Incarnation
-	if sameProcess && heard.Health == wire.MemberHealthDead && held.Health != wire.MemberHealthDead {
+func doubted(heard wire.MemberRumour) wire.MemberRumour {
+	if heard.Health == wire.MemberHealthDead {
 		heard.Health = wire.MemberHealthSuspect
 	}
 	return heard
--- a/member/view.go
+++ b/member/view.go
@@ -212,10 +212,20 @@
 	return r
 }
 
-// believe takes in what others say of a member of the zone.
+// believe takes in what others say of a member of the zone. That one is dead of
+// which nothing was known is no news.
 func (v *View) believe(heard wire.MemberRumour, now time.Time) {
-	if r, known := v.records[heard.Instance]; known && r != v.self {
-		heard = doubted(r.rumour, heard)
+	if heard.Instance == v.self.rumour.Instance {
+		v.contradict(heard)
+		return
+	}
+	r, known := v.records[heard.Instance]
+	unknown := !known || r.rumour.Incarnation == 0
+	if unknown && heard.Health == wire.MemberHealthDead {
+		return
+	}
+	if unknown || r.rumour.Health != wire.MemberHealthDead || heard.Incarnation > r.rumour.Incarnation {
+		heard = doubted(heard)
 	}
 	v.merge(heard, now)
 }
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -95,6 +95,28 @@
 	}
 }
 
+// TestReturnOfOneCutOff: an entry that was cut off counts all others as dead.
+// On its return nobody believes it, a process that starts just then neither.
+func TestReturnOfOneCutOff(t *testing.T) {
+	for seed := range uint64(10) {
+		n := newNetwork(seed, 14)
+		n.run(joinBound, func() {})
+		n.nodes[0].side = 1
+		n.run(25*time.Second, func() {})
+		n.start(7)
+		n.nodes[0].side = 0
+		n.run(returnBound, func() {
+			for i, o := range n.nodes[1:] {
+				for j := 1; j < len(n.nodes); j++ {
+					if n.state(o, j) == member.StateDead {
+						t.Fatalf("seed %d: entry %d counts %d as dead", seed, i+1, j)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestZoneSums(t *testing.T) {
 	n := newNetwork(1, 13, 13, 13, 13)
 	n.run(60*time.Second, func() {})
