--- a/block/bench_test.go
+++ b/block/bench_test.go
@@ -53,13 +53,13 @@
 		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 		entries := benchEntries(n)
 		set, addresses := filled(b, n), addressesIn(entries)
-		even, odd := oneChanged(b, entries)
+		even, odd := oneChanged(b, entries, benchChunkBlocks)
 		swaps := 0
 		ctx, cancel := context.WithCancel(context.Background())
 		var group conc.WaitGroup
 		group.Go(func() {
 			for version := uint64(2); ctx.Err() == nil; version++ {
-				_ = set.Take(block.Update{Name: "c000", Version: version, Value: [][]byte{even, odd}[version%2]})
+				_ = set.Take(block.Update{Name: "c000000", Version: version, Value: [][]byte{even, odd}[version%2]})
 				swaps++
 				time.Sleep(time.Second) // the target's pace is one change in 19 s
 			}
@@ -79,8 +79,8 @@
 
 // oneChanged returns two values of the first chunk that differ in one block's
 // site.
-func oneChanged(b *testing.B, entries []block.Entry) (even, odd []byte) {
-	first := append([]block.Entry{}, entries[:min(benchChunkBlocks, len(entries))]...)
+func oneChanged(b *testing.B, entries []block.Entry, perChunk int) (even, odd []byte) {
+	first := append([]block.Entry{}, entries[:min(perChunk, len(entries))]...)
 	even, err := block.FormatChunk(first)
 	if err != nil {
 		b.Fatal(err)
@@ -96,7 +96,7 @@
 // memory that is held afterwards.
 func BenchmarkBuild(b *testing.B) {
 	eachSize(b, func(b *testing.B, n int) {
-		updates := benchUpdates(b, benchEntries(n))
+		updates := benchUpdates(b, benchEntries(n), benchChunkBlocks)
 		bytes := 0
 		for _, u := range updates {
 			bytes += len(u.Value)
@@ -122,10 +122,10 @@
 	eachSize(b, func(b *testing.B, n int) {
 		entries := benchEntries(n)
 		set := filled(b, n)
-		even, odd := oneChanged(b, entries)
+		even, odd := oneChanged(b, entries, benchChunkBlocks)
 		version := uint64(2)
 		for b.Loop() {
-			if err := set.Take(block.Update{Name: "c000", Version: version, Value: [][]byte{even, odd}[version%2]}); err != nil {
+			if err := set.Take(block.Update{Name: "c000000", Version: version, Value: [][]byte{even, odd}[version%2]}); err != nil {
 				b.Fatal(err)
 			}
 			version++
@@ -133,6 +133,29 @@
 	})
 }
 
+// BenchmarkChunkSize measures taking one chunk in which the site of one block
+// has changed, by the number of blocks in a chunk, with 670,000 blocks in all.
+func BenchmarkChunkSize(b *testing.B) {
+	for _, perChunk := range []int{200, 2_000, 40_000} {
+		b.Run(fmt.Sprintf("per-chunk=%d", perChunk), func(b *testing.B) {
+			entries := benchEntries(670_000)
+			set := block.New()
+			if err := set.Take(benchUpdates(b, entries, perChunk)...); err != nil {
+				b.Fatal(err)
+			}
+			even, odd := oneChanged(b, entries, perChunk)
+			version := uint64(2)
+			for b.Loop() {
+				if err := set.Take(block.Update{Name: "c000000", Version: version, Value: [][]byte{even, odd}[version%2]}); err != nil {
+					b.Fatal(err)
+				}
+				version++
+			}
+			b.ReportMetric(float64(len(even)), "chunk_B")
+		})
+	}
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/block/table_test.go
+++ b/block/table_test.go
@@ -204,21 +204,21 @@
 	return netip.PrefixFrom(netip.AddrFrom4(b), 24)
 }
 
-func benchUpdates(tb testing.TB, entries []block.Entry) []block.Update {
+func benchUpdates(tb testing.TB, entries []block.Entry, perChunk int) []block.Update {
 	updates := []block.Update{}
-	for from := 0; from < len(entries); from += benchChunkBlocks {
-		value, err := block.FormatChunk(entries[from:min(from+benchChunkBlocks, len(entries))])
+	for from := 0; from < len(entries); from += perChunk {
+		value, err := block.FormatChunk(entries[from:min(from+perChunk, len(entries))])
 		if err != nil {
 			tb.Fatal(err)
 		}
-		updates = append(updates, block.Update{Name: fmt.Sprintf("c%03d", len(updates)), Version: 1, Value: value})
+		updates = append(updates, block.Update{Name: fmt.Sprintf("c%06d", len(updates)), Version: 1, Value: value})
 	}
 	return updates
 }
 
 func filled(tb testing.TB, n int) *block.Set {
 	set := block.New()
-	if err := set.Take(benchUpdates(tb, benchEntries(n))...); err != nil {
+	if err := set.Take(benchUpdates(tb, benchEntries(n), benchChunkBlocks)...); err != nil {
 		tb.Fatal(err)
 	}
 	return set
--- /dev/null
+++ b/entry/slope_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/peers"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// fixedPlatform always gives the same settings and the same list.
+type fixedPlatform struct {
+	store.Store
+	objects []store.Object
+	list    store.Roster
+}
+
+func (p fixedPlatform) List(context.Context, string) ([]store.Object, uint64, error) {
+	return p.objects, 1, nil
+}
+
+func (p fixedPlatform) Roster(context.Context) (store.Roster, error) { return p.list, nil }
+
+// livingPeers answers every heartbeat.
+type livingPeers struct{}
+
+func (livingPeers) Call(context.Context, place.Instance, wire.Message) (wire.Message, error) {
+	return &wire.BeatAck{Incarnation: 1}, nil
+}
+
+// BenchmarkLookup measures the choice of entries for a caller, without HTTP, by
+// the number of entries in the platform's list; ten entries make a zone.
+func BenchmarkLookup(b *testing.B) {
+	value, err := config.NewEnvelope(nil, "ana", "c", time.Unix(0, 0), []byte(`{"slots":3}`)).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, entries := range []int{20, 440, 4400} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var list store.Roster
+			for i := range entries {
+				list.Entries = append(list.Entries, store.Entry{
+					Instance: place.Instance(fmt.Sprintf("entry-%d", i)), Zone: place.Zone(fmt.Sprintf("region-%d/z%d", i/10%16, i/10)),
+					CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", State: store.StateLive,
+				})
+			}
+			self := wire.Hello{Instance: "entry-0", Zone: "region-0/z0"}
+			pool := peers.New(self, peers.DialTCP)
+			defer pool.Close()
+			heart := peers.NewHeart(self, livingPeers{}, time.Now)
+			platform := fixedPlatform{objects: []store.Object{store.NewObject("teams/library/search-desk", 1, value, false)}, list: list}
+			e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
+			e.relay.Follow(context.Background())
+			e.roster.Round(context.Background())
+			heart.Round(context.Background())
+			b.ReportAllocs()
+			for b.Loop() {
+				if found, err := e.Lookup("library/search-desk"); err != nil || len(found.Entries()) != LookupEntriesMax {
+					b.Fatal(found, err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/relay/slope_test.go
@@ -0,0 +1,112 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// messageBytesExtra is the head of a frame and what TCP, IP and Ethernet add.
+const messageBytesExtra = 14 + 66
+
+// counting is an edge that counts what both ends of each call send and receive.
+type counting struct {
+	edge
+	mu    *sync.Mutex
+	bytes map[place.Instance]int
+}
+
+func (c counting) Call(ctx context.Context, to place.Instance, message wire.Message) (wire.Message, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer, err := c.edge.Call(ctx, to, message)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range []wire.Message{message, answer} {
+		packed, err := msgpack.Marshal(m)
+		if err != nil {
+			return nil, err
+		}
+		c.bytes[c.instance] += len(packed) + messageBytesExtra
+		c.bytes[to] += len(packed) + messageBytesExtra
+	}
+	return answer, nil
+}
+
+// startCounted starts a member of zone "kigali/a" or of a small other zone.
+func startCounted(w *world, mu *sync.Mutex, bytes map[place.Instance]int, instance place.Instance, zone place.Zone) {
+	w.start(instance, zone)
+	c := counting{edge: edge{world: w, instance: instance}, mu: mu, bytes: bytes}
+	w.processes[instance] = relay.New(wire.Hello{Instance: instance, Zone: zone}, config.NewTables(zone.Region(), nil), c, c,
+		func() relay.View { return w.view(zone) }, func() time.Time { return w.now }, logs.Discard())
+}
+
+// BenchmarkSpread measures what following the settings costs a member and a
+// relay of one zone while nothing changes, and what one change of a policy
+// costs, in a fleet with 39 other zones of two members.
+func BenchmarkSpread(b *testing.B) {
+	const rounds = 20
+	var mu sync.Mutex
+	for _, members := range []int{3, 30, 110} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			for b.Loop() {
+				w, bytes := newWorld(), map[place.Instance]int{}
+				for i := range members {
+					startCounted(w, &mu, bytes, place.Instance(fmt.Sprintf("entry-%03d", i)), "kigali/a")
+				}
+				for i := range 78 {
+					startCounted(w, &mu, bytes, place.Instance(fmt.Sprintf("other-%03d", i)), place.Zone(fmt.Sprintf("region-%d/z%d", i%16, i/2)))
+				}
+				w.write("teams/library/search-desk", good(1), false)
+				w.stepAll(10)
+				clear(bytes)
+				w.stepAll(rounds)
+				member, most := spreadBytes(w, bytes)
+				b.ReportMetric(float64(member)/rounds, "B/s/member")
+				b.ReportMetric(float64(most)/rounds, "B/s/worst-relay")
+				clear(bytes)
+				version := w.write("teams/library/search-desk", good(2), false)
+				spent := 0
+				for ; !everywhere(w, version); spent++ {
+					w.stepAll(1)
+				}
+				changed, _ := spreadBytes(w, bytes)
+				b.ReportMetric(float64(spent), "rounds/change")
+				b.ReportMetric(float64(changed-spent*member/rounds), "B/change/member")
+			}
+		})
+	}
+}
+
+// spreadBytes returns the mean of the members of the zone and the most that one
+// of them has.
+func spreadBytes(w *world, bytes map[place.Instance]int) (mean, most int) {
+	count := 0
+	for instance, z := range w.zones {
+		if z == "kigali/a" {
+			mean, count = mean+bytes[instance], count+1
+			most = max(most, bytes[instance])
+		}
+	}
+	return mean / count, most
+}
+
+func everywhere(w *world, version uint64) bool {
+	for _, process := range w.processes {
+		if process.Tables().Version("teams/library/search-desk").InForce() != version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/roster/slope_test.go
@@ -0,0 +1,79 @@
+package roster_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/roster"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// messageBytesExtra is the head of a frame and what TCP, IP and Ethernet add.
+const messageBytesExtra = 14 + 66
+
+// near is the relay of a zone as its members reach it, and counts the bytes.
+type near struct {
+	relay *roster.Follower
+	bytes int
+}
+
+func (n *near) Call(_ context.Context, _ place.Instance, message wire.Message) (wire.Message, error) {
+	answer := n.relay.Handle(message.(*wire.RosterAsk))
+	for _, m := range []wire.Message{message, answer} {
+		packed, err := msgpack.Marshal(m)
+		if err != nil {
+			return nil, err
+		}
+		n.bytes += len(packed) + messageBytesExtra
+	}
+	return answer, nil
+}
+
+type listed store.Roster
+
+func (l listed) Roster(context.Context) (store.Roster, error) { return store.Roster(l), nil }
+
+// BenchmarkFollow measures what a second of following a list in which nothing
+// changes costs a member and one of the two relays of a zone, both ends of each
+// message counted, and how long the platform's answer is.
+func BenchmarkFollow(b *testing.B) {
+	for _, members := range []int{3, 30, 110} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			var list store.Roster
+			for i := range members * 40 {
+				list.Entries = append(list.Entries, store.Entry{
+					Instance: place.Instance(fmt.Sprintf("entry-%d", i)), Zone: place.Zone(fmt.Sprintf("region-%d/z%d", i%16, i%40)),
+					CallerAddress: "10.100.200.100:8000", PeerAddress: "10.100.200.100:7001", State: store.StateLive,
+				})
+			}
+			n := &near{}
+			relay := roster.NewFollower(listed(list), n, func() roster.Sources { return roster.NewSources(true, nil, nil) }, time.Now, logs.Discard())
+			relay.Round(context.Background())
+			n.relay = relay
+			member := roster.NewFollower(listed(list), n, func() roster.Sources {
+				return roster.NewSources(false, []place.Instance{"relay"}, nil)
+			}, time.Now, logs.Discard())
+			member.Round(context.Background())
+			n.bytes = 0
+			for b.Loop() {
+				member.Round(context.Background())
+			}
+			answer, err := json.Marshal(list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			second := float64(n.bytes) / float64(b.N) / roster.Interval.Seconds()
+			b.ReportMetric(second, "B/s/member")
+			b.ReportMetric(second*float64(members-2)/2, "B/s/relay-to-members")
+			b.ReportMetric(float64(len(answer))/roster.Interval.Seconds(), "B/s/relay-from-platform")
+		})
+	}
+}
