Look at no more entries than a look-up needs

Cause: entry.Lookup cloned, filtered and shuffled every zone of the list for each caller. Ruled out: a prepared answer that is swapped at each heartbeat; it would have to be made anew for every change of health, and this is fast enough. Conclusion: entries are probed from a random place with a random stride that meets each one once; zones are kept by distance in the view.

--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/endivechute/endivechute/errs"
@@ -45,13 +46,13 @@
 	if self, listed := v.entries[e.self.Instance]; listed && !e.leaving.Load() {
 		entries = append(entries, self)
 	}
-	for distance := range 3 {
-		for zone, members := range v.zoneEntries {
-			if e.distance(zone) == distance {
-				entries = append(entries, e.reachable(members)...)
-			}
+	for _, zones := range v.nearZones {
+		if len(entries) == LookupEntriesMax {
+			break
+		}
+		for _, i := range rand.Perm(len(zones)) {
+			entries = append(entries, e.pick(v.zoneEntries[zones[i]], LookupEntriesMax-len(entries))...)
 		}
 	}
-	entries = entries[:min(len(entries), LookupEntriesMax)]
 	return Found{service: service, entries: entries, keyPrefix: e.keyPrefix(), expires: LookupTTL}, nil
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -94,16 +94,21 @@
 		}
 	}
 	slices.SortFunc(zones, func(a, b place.Zone) int {
-		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(distance(e.self.Zone, a), distance(e.self.Zone, b)), cmp.Compare(a, b))
 	})
 	return zones
 }
 
-func (e *Entry) distance(zone place.Zone) int {
+// distances is the number of distances that are told apart.
+const distances = 3
+
+// distance tells how far apart two availability zones are: 0 for the same one,
+// 1 within a region, 2 between regions.
+func distance(from, to place.Zone) int {
 	switch {
-	case zone == e.self.Zone:
+	case to == from:
 		return 0
-	case zone.Region() == e.self.Zone.Region():
+	case to.Region() == from.Region():
 		return 1
 	}
 	return 2
@@ -113,23 +118,58 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
-	entries := e.reachable(v.zoneEntries[zone])
+	entries := e.pick(v.zoneEntries[zone], 1)
 	if len(entries) == 0 {
 		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
 	}
 	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
 }
 
-// reachable returns the entries that can be reached and don't leave, in random
-// order.
-func (e *Entry) reachable(entries []store.Entry) []store.Entry {
+// pick returns at most count entries that can be reached and don't leave, in
+// random order. It looks at no more entries than it needs, because it stands on
+// the path of every request and a zone may have a hundred.
+func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
+	if len(entries) == 0 || count <= 0 {
+		return nil
+	}
 	now := e.now()
-	usable := slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool {
-		health := e.heart.Health(entry.Instance)
-		return entry.Instance == e.self.Instance || entry.State == store.StateLeaving || health.Leaving() || !health.Reachable(now)
-	})
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return usable
+	picked := make([]store.Entry, 0, min(count, len(entries)))
+	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
+	for range entries {
+		if e.usable(entries[at], now) {
+			picked = append(picked, entries[at])
+		}
+		if len(picked) == count {
+			break
+		}
+		at = (at + stride) % len(entries)
+	}
+	return picked
+}
+
+// randomStride returns a step that leads once through all places of a list.
+func randomStride(length int) int {
+	for {
+		stride := 1 + rand.IntN(length)
+		if gcd(stride, length) == 1 {
+			return stride
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func (e *Entry) usable(entry store.Entry, now time.Time) bool {
+	if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+		return false
+	}
+	health := e.heart.Health(entry.Instance)
+	return health.Reachable(now) && !health.Leaving()
 }
 
 // tryTarget hands the request to the less busy of two random targets.
--- a/entry/view.go
+++ b/entry/view.go
@@ -15,8 +15,10 @@
 type view struct {
 	entries     map[place.Instance]store.Entry
 	zoneEntries map[place.Zone][]store.Entry
-	targets     map[place.Service]map[place.Zone][]store.Target
-	clients     map[place.Target]*target.Client
+	// nearZones are the zones of zoneEntries by their distance from here.
+	nearZones [distances][]place.Zone
+	targets   map[place.Service]map[place.Zone][]store.Target
+	clients   map[place.Target]*target.Client
 }
 
 // withRoster returns a copy that knows the instances of the list. zone is the
@@ -25,8 +27,13 @@
 	next := *v
 	next.entries = map[place.Instance]store.Entry{}
 	next.zoneEntries = map[place.Zone][]store.Entry{}
+	next.nearZones = [distances][]place.Zone{}
 	for _, entry := range roster.Entries {
 		next.entries[entry.Instance] = entry
+		if next.zoneEntries[entry.Zone] == nil {
+			at := distance(zone, entry.Zone)
+			next.nearZones[at] = append(next.nearZones[at], entry.Zone)
+		}
 		next.zoneEntries[entry.Zone] = append(next.zoneEntries[entry.Zone], entry)
 	}
 	next.targets = map[place.Service]map[place.Zone][]store.Target{}
