Send what first became known here to all members at once

Cause: keepers need the views of a zone's members to agree soon (ViewSpread, 1 s); rumours alone let them differ for up to 3.1 s at 110 members.

--- a/member/beat.go
+++ b/member/beat.go
@@ -32,6 +32,7 @@
 	v.review(now)
 	v.arrange()
 	v.publish(now)
+	v.shouting = v.shouts(now)
 	above := v.above()
 	beats := []Outgoing{}
 	for _, r := range v.chosen(above) {
@@ -48,6 +49,7 @@
 	if len(beats) == 0 {
 		beats = v.join()
 	}
+	v.shouting = false
 	return append(beats, v.outerBeat()...)
 }
 
@@ -73,6 +75,7 @@
 		case wire.MemberHealthAlive:
 			if r.present() && !r.asked.IsZero() && now.Sub(r.asked) > SuspectAfter {
 				v.judge(r, wire.MemberHealthSuspect, now)
+				v.urgent = true
 			}
 		case wire.MemberHealthSuspect:
 			if now.Sub(r.since) > DeadAfter {
@@ -88,12 +91,26 @@
 	}
 }
 
+// shouts tells whether this tick's heartbeat goes to all members. That is for
+// what first became known here, so that no two views differ for long; such news
+// is rare.
+func (v *View) shouts(now time.Time) bool {
+	if !v.urgent || len(v.ring) < 2 || now.Sub(v.shouted) < shoutEvery {
+		return false
+	}
+	v.urgent, v.shouted = false, now
+	return true
+}
+
 // chosen returns the members that get a heartbeat in this tick: the next one
 // in the ring, then in turns the one above in the tree or a random one, and now
-// and then one that is lost but listed.
+// and then one that is lost but listed; or all.
 func (v *View) chosen(above *record) []*record {
-	chosen := []*record{}
 	at, count := v.position(), len(v.ring)
+	if v.shouting {
+		return slices.DeleteFunc(slices.Clone(v.ring), func(r *record) bool { return r == v.self })
+	}
+	chosen := []*record{}
 	if count > 1 {
 		chosen = append(chosen, v.ring[(at+1)%count])
 	}
@@ -149,7 +166,12 @@
 }
 
 // Answered takes in the answer to a heartbeat.
-func (v *View) Answered(answer *wire.MemberBeat, now time.Time) { v.take(answer, now) }
+func (v *View) Answered(answer *wire.MemberBeat, now time.Time) {
+	v.take(answer, now)
+	if v.joining && len(answer.Rumours) > 0 {
+		v.joining, v.urgent = false, true
+	}
+}
 
 // Failed takes in that an entry could not be reached. A mere timeout is no
 // evidence and needs no call.
@@ -166,6 +188,7 @@
 			v.judge(r, wire.MemberHealthSuspect, now)
 		}
 	}
+	v.urgent = true
 	v.arrange()
 }
 
@@ -247,8 +270,10 @@
 			break
 		}
 		if r.rumour.Instance != to {
-			r.sent++
 			rumours = append(rumours, r.rumour)
+			if !v.shouting {
+				r.sent++
+			}
 		}
 	}
 	return rumours
--- a/member/view.go
+++ b/member/view.go
@@ -41,6 +41,9 @@
 	// joinPeers is the number of listed entries that a process asks for
 	// everything while it knows no member.
 	joinPeers = 3
+	// shoutEvery is the shortest time between two ticks in which a process
+	// sends its heartbeat to all members.
+	shoutEvery = 5 * time.Second
 	// membersMax bounds the records that heartbeats can add.
 	membersMax = 4096
 )
@@ -88,6 +91,10 @@
 	ticked   time.Time
 	awake    time.Time
 	pull     bool
+	joining  bool // no full answer was taken yet
+	urgent   bool // something first became known here
+	shouting bool
+	shouted  time.Time
 	pulled   time.Time
 	version  uint64
 	replaced bool
@@ -110,6 +117,8 @@
 		random:  rand.New(rand.NewPCG(seed, own.order)),
 		outside: map[place.Zone][]Peer{},
 		ticked:  now,
+		pull:    true,
+		joining: true,
 		awake:   now,
 		sums:    newSums(),
 	}
@@ -166,6 +175,7 @@
 func (v *View) Leave() {
 	v.self.rumour.Leaving = true
 	v.touch(v.self)
+	v.urgent = true
 }
 
 // Depart returns the last heartbeats of this process, which say that it is
@@ -174,10 +184,9 @@
 	v.self.rumour.Leaving = true
 	v.self.rumour.Health = wire.MemberHealthDead
 	v.arrange()
-	count := min(joinPeers, len(v.ring))
-	beats := make([]Outgoing, 0, count)
-	for i := range count {
-		beats = append(beats, v.beatTo(v.ring[(v.position()+i)%len(v.ring)]))
+	beats := make([]Outgoing, 0, len(v.ring))
+	for _, r := range v.ring {
+		beats = append(beats, v.beatTo(r))
 	}
 	return beats
 }
@@ -276,6 +285,7 @@
 	}
 	own.Epoch = heard.Epoch + 1
 	v.touch(v.self)
+	v.urgent = true
 }
 
 // touch makes the rumour of a record news again.
