--- a/entry/route.go
+++ b/entry/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,7 +72,7 @@
 // forwardTries. One that leaves still serves: it comes last.
 func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
 	now := e.now()
-	usable := e.reachable(entries)
+	usable := e.pick(entries, forwardTries)
 	for _, entry := range entries {
 		health := e.heart.Health(entry.Instance)
 		leaving := entry.State == store.StateLeaving || health.Leaving()
@@ -84,16 +83,51 @@
 	return usable[:min(len(usable), forwardTries)]
 }
 
-// reachable returns the entries that can be reached and don't leave, in random
-// order.
-func (e *Entry) reachable(entries []store.Entry) []store.Entry {
+// pick returns at most count entries that can be reached and don't leave, in
+// random order. It looks at no more entries than it needs, because it stands on
+// the path of every request and a zone may have a hundred.
+func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
+	if len(entries) == 0 || count <= 0 {
+		return nil
+	}
 	now := e.now()
-	usable := slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool {
-		health := e.heart.Health(entry.Instance)
-		return entry.Instance == e.self.Instance || entry.State == store.StateLeaving || health.Leaving() || !health.Reachable(now)
-	})
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return usable
+	picked := make([]store.Entry, 0, min(count, len(entries)))
+	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
+	for range entries {
+		if e.usable(entries[at], now) {
+			picked = append(picked, entries[at])
+		}
+		if len(picked) == count {
+			break
+		}
+		at = (at + stride) % len(entries)
+	}
+	return picked
+}
+
+// randomStride returns a step that leads once through all places of a list.
+func randomStride(length int) int {
+	for {
+		stride := 1 + rand.IntN(length)
+		if gcd(stride, length) == 1 {
+			return stride
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func (e *Entry) usable(entry store.Entry, now time.Time) bool {
+	if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+		return false
+	}
+	health := e.heart.Health(entry.Instance)
+	return health.Reachable(now) && !health.Leaving()
 }
 
 // forward hands a request to another entry and waits for its answer.
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -116,11 +116,16 @@
 	return zones
 }
 
-func (e *Entry) distance(zone place.Zone) int {
+// distances is the number of distances that are told apart.
+const distances = 3
+
+// distance tells how far apart two availability zones are: 0 for the same one,
+// 1 within a region, 2 between regions.
+func distance(from, to place.Zone) int {
 	switch {
-	case zone == e.self.Zone:
+	case to == from:
 		return 0
-	case zone.Region() == e.self.Zone.Region():
+	case to.Region() == from.Region():
 		return 1
 	}
 	return 2
