Weigh a canceled request by more than its age

Cause: a hedged request is canceled at about the 95th percentile, so that a target that hangs looked hardly slower than the others, kept its share of the requests and used up the budget of hedges. Ruled out: a larger budget. Conclusion: what a canceled answer would have taken is unknown and longer; it counts four times.

--- a/target/choose_test.go
+++ b/target/choose_test.go
@@ -25,6 +25,12 @@
 			o.failed(now, errs.MayHaveRun(errs.ReasonCutAnswer, "cut"), 0)
 		}
 	}
+	hung := func(o *observed) {
+		quick(o)
+		for range 5 {
+			o.failed(now, errs.MayHaveRun(errs.ReasonCanceled, "hedged"), 2*time.Millisecond)
+		}
+	}
 	tests := map[string]struct {
 		saw   []func(*observed)
 		after time.Duration
@@ -33,6 +39,7 @@
 		"slow one is left to others":  {[]func(*observed){quick, slow}, 0, []bool{true, false}},
 		"slow one is tried again":     {[]func(*observed){quickLater, slow}, time.Minute, []bool{false, true}},
 		"nearly as quick":             {[]func(*observed){quick, nearly}, 0, []bool{true, true}},
+		"hung, always hedged":         {[]func(*observed){quick, hung}, 0, []bool{true, false}},
 		"unknown is tried":            {[]func(*observed){unknown, slow}, 0, []bool{true, false}},
 		"half are gone":               {[]func(*observed){quick, dead, quick, dead}, 0, []bool{true, false, true, false}},
 		"gone ones are tried later":   {[]func(*observed){quick, dead}, time.Minute, []bool{true, true}},
--- a/target/observe.go
+++ b/target/observe.go
@@ -19,6 +19,9 @@
 	// failuresBad is how many failures in a row after the request was sent make
 	// a target bad. One failed dial is enough.
 	failuresBad = 3
+	// canceledFactor times its age counts for a request that was canceled, as
+	// a hedged one is: the answer would have taken longer, nobody knows how much.
+	canceledFactor = 4
 	// failureLatency is what a failure counts for at least, so that a target
 	// that fails quickly does not look quick.
 	failureLatency = 100 * time.Millisecond
@@ -63,7 +66,7 @@
 		return
 	case errs.ReasonCanceled:
 		if !dial {
-			o.smooth(now, max(took, time.Duration(o.latency.Load())))
+			o.smooth(now, max(canceledFactor*took, time.Duration(o.latency.Load())))
 		}
 		return
 	case errs.ReasonDeadline:
