--- a/suite/commands_test.go
+++ b/suite/commands_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -25,6 +26,7 @@
 //	platform                                start the platform
 //	policy TEAM/SERVICE FILE                write a policy
 //	entry NAME ZONE [--flag=...]            start an entry and list it
+//	restart ENTRY                           kill it and start it again, with all others as peer seeds
 //	targets NAME ZONE SERVICE COUNT [--..]  start targets and list them
 //	state NAME live|leaving|gone            change the list of instances
 //	ready ENTRY...                          wait until the entries are ready
@@ -35,6 +37,7 @@
 //	load NAME [MIX] [rate=] [seconds=] [seed=] [attempts=] [via=ENTRY,...] [&]
 //	loaded NAME                             wait for a load in the background
 //	check NAME COND...                      conditions on a load's summary, as kinds.loan.ran>=10
+//	dump ENTRY COND...                      wait until the entry's dump fits, as settings.ready=1
 //	executions TARGET COND                  wait until the log's length fits, as >=10
 //	mark NAME                               remember the time
 //	quiet TARGET MARK SECONDS               nothing began that long after the mark, and all ended
@@ -48,6 +51,7 @@
 		"platform":   {platformCommand, 0},
 		"policy":     {policyCommand, 2},
 		"entry":      {entryCommand, 2},
+		"restart":    {restartCommand, 1},
 		"targets":    {targetsCommand, 4},
 		"state":      {stateCommand, 2},
 		"ready":      {readyCommand, 1},
@@ -58,6 +62,7 @@
 		"load":       {loadCommand, 1},
 		"loaded":     {loadedCommand, 1},
 		"check":      {checkCommand, 2},
+		"dump":       {dumpCommand, 2},
 		"executions": {executionsCommand, 2},
 		"mark":       {markCommand, 1},
 		"quiet":      {quietCommand, 3},
@@ -107,6 +112,25 @@
 	return f.startEntry(args[0], args[1], args[2:])
 }
 
+func restartCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	p := f.processes[args[0]]
+	if p == nil || f.operators[args[0]] == "" {
+		return fmt.Errorf("there is no entry %q", args[0])
+	}
+	if err := p.command.Process.Kill(); err != nil {
+		return err
+	}
+	<-p.ended
+	var seeds []string
+	for _, e := range f.roster.Entries {
+		if string(e.Instance) != args[0] {
+			seeds = append(seeds, string(e.Instance)+"="+e.PeerAddress)
+		}
+	}
+	again := slices.Concat(p.command.Args[1:], []string{"--peer-seeds=" + strings.Join(seeds, ",")})
+	return f.start(args[0], "endivechute", again...)
+}
+
 func targetsCommand(f *fleet, _ *testscript.TestScript, args []string) error {
 	count, err := strconv.Atoi(args[3])
 	if err != nil {
@@ -263,7 +287,12 @@
 	if err := json.Unmarshal(text, &body); err != nil {
 		return err
 	}
-	for _, condition := range args[1:] {
+	return fits(body, args[1:])
+}
+
+// fits checks conditions such as kinds.loan.ran>=10 on nested objects.
+func fits(body map[string]any, conditions []string) error {
+	for _, condition := range conditions {
 		at := strings.IndexAny(condition, "<>=")
 		if at < 0 {
 			return fmt.Errorf("condition %q: want a name, one of = >= <=, and a number", condition)
@@ -273,12 +302,26 @@
 			return err
 		}
 		if err := holds(value, condition[at:]); err != nil {
-			return fmt.Errorf("%s: %w\n%s", condition, err, text)
+			return fmt.Errorf("%s: %w\n%v", condition, err, body)
 		}
 	}
 	return nil
 }
 
+func dumpCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	return until("dump of "+args[0], func() error {
+		text, err := f.send(http.MethodGet, "http://"+f.operators[args[0]]+"/dump", "")
+		if err != nil {
+			return err
+		}
+		var body map[string]any
+		if err := json.Unmarshal(text, &body); err != nil {
+			return err
+		}
+		return fits(body, args[1:])
+	})
+}
+
 // lookUp finds a number in nested objects by its path, such as kinds.loan.ran.
 func lookUp(body map[string]any, path string) (float64, error) {
 	var value any = body
@@ -286,11 +329,16 @@
 		object, _ := value.(map[string]any)
 		value = object[name]
 	}
-	number, ok := value.(float64)
-	if !ok {
-		return 0, fmt.Errorf("there is no number %q in the summary", path)
+	switch v := value.(type) {
+	case float64:
+		return v, nil
+	case bool:
+		if v {
+			return 1, nil
+		}
+		return 0, nil
 	}
-	return number, nil
+	return 0, fmt.Errorf("there is no number and no truth value %q", path)
 }
 
 // holds checks a number against a condition such as >=10.
