--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,11 +12,13 @@
 
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/once"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/roster"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/ticket"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -32,7 +34,9 @@
 	now      func() time.Time
 	log      *logrus.Logger
 	stats    *Stats
-	once     *keptAnswers
+	once     *once.Keys
+	budgets  budgets
+	limits   *limits
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -44,11 +48,14 @@
 func New(self wire.Hello, seeds map[place.Instance]string, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, logger *logrus.Logger) *Entry {
 	e := &Entry{
 		self: self, seeds: seeds, pool: pool, heart: heart, now: now, log: logs.Part(logger, "entry"),
-		stats: NewStats(), once: newKeptAnswers(),
+		stats: NewStats(),
 	}
+	e.once = once.New(ticket.NewID(self.Instance, self.Incarnation), ticket.DefaultLimits(), reach{pool: pool, heart: heart, now: now}, e, now, logs.Part(logger, "once"))
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
+	e.stats.registry.MustRegister(&e.budgets)
+	e.limits = newLimits(e)
 	e.takeRoster(store.Roster{})
 	return e
 }
@@ -56,10 +63,10 @@
 // Stats returns the metrics of the process.
 func (e *Entry) Stats() *Stats { return e.stats }
 
-// Ready tells whether the process knows the settings and the instances, so
-// that callers may be sent to it.
+// Ready tells whether the process knows the settings, the instances and who
+// keeps the targets, so that callers may be sent to it.
 func (e *Entry) Ready() bool {
-	return e.informed() && !e.leaving.Load()
+	return e.informed() && e.limits.settled() && !e.leaving.Load()
 }
 
 func (e *Entry) informed() bool {
@@ -68,15 +75,20 @@
 
 // Handle answers the messages of other entries. It implements wire.Handler.
 func (e *Entry) Handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
+	if answer := e.once.Handle(ctx, peer, message); answer != nil {
+		return answer
+	}
 	switch m := message.(type) {
 	case *wire.Beat:
 		return e.heart.Answer()
 	case *wire.Forward:
-		return e.handleForward(ctx, m)
+		return e.handleForward(ctx, peer, m)
 	case *wire.RosterAsk:
 		return e.roster.Handle(m)
 	case *wire.SettingsDigest, *wire.SettingsPull, *wire.Settings:
 		return e.relay.Handle(ctx, peer, m)
+	case *wire.LeaseBeat, *wire.Handover, *wire.LeftDone, *wire.KeepersAsk:
+		return e.limits.handle(ctx, peer, m)
 	}
 	return &wire.Refused{Text: "the message is not one that an entry answers"}
 }
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -16,10 +16,14 @@
 func (e *Entry) Leave(ctx context.Context) {
 	e.leaving.Store(true)
 	e.heart.Leave()
+	e.limits.leave(ctx)
 	e.log.Info("The shutdown begins.")
 	if !pause(ctx, LookupTTL+2*peers.BeatInterval) {
 		return
 	}
+	if err := e.once.Stop(ctx); err != nil {
+		e.log.WithError(err).Warn("The keys were not handed over in time.")
+	}
 	for e.inFlight.Load() > 0 {
 		if !pause(ctx, leavePoll) {
 			e.log.WithField("in_flight", e.inFlight.Load()).Warn("The shutdown ran out of time.")
--- a/entry/route.go
+++ b/entry/route.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +11,6 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -21,6 +18,10 @@
 // should come back.
 const ComeBack = 200 * time.Millisecond
 
+// forwardTries is how many entries of an availability zone a request is offered
+// to, as long as each cannot be reached.
+const forwardTries = 3
+
 // Serve leads one request of a caller to a target and returns the whole answer.
 // An error holds an *errs.Refusal, which says whether the request may have run.
 func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
@@ -33,6 +34,9 @@
 }
 
 func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	if r.key != "" {
+		return e.serveOnce(ctx, r)
+	}
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -40,8 +44,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	e.limits.arrive(r.service, policy)
 	if policy.NonIdempotent(r.method, r.plainPath()) {
-		return e.serveOnce(ctx, v, policy, r)
+		return nil, e.keyMissing(r)
 	}
 	return e.route(ctx, v, policy, r)
 }
@@ -63,98 +68,66 @@
 	return policy, nil
 }
 
-// route tries the availability zones in order until one ran the request or may
-// have run it.
-func (e *Entry) route(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a target of service %s", r.service)
-	for _, zone := range e.zones(v, policy, r) {
-		answer, err := e.tryZone(ctx, v, policy, r, zone)
-		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
-			return answer, err
-		}
-		last = err
-		if ctx.Err() != nil {
-			return nil, errs.NotRun(errs.ReasonDeadline, 0, "the deadline passed before a target ran the request")
+// forwardable returns the entries that a request may be handed to, at most
+// forwardTries. One that leaves still serves: it comes last.
+func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	usable := e.pick(entries, forwardTries)
+	for _, entry := range entries {
+		health := e.heart.Health(entry.Instance)
+		leaving := entry.State == store.StateLeaving || health.Leaving()
+		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
+			usable = append(usable, entry)
 		}
 	}
-	return nil, last
+	return usable[:min(len(usable), forwardTries)]
 }
 
-// zones returns the availability zones with usable targets: the own one, then
-// the others of the region, then other regions. A request that has come from
-// another entry stays in this zone.
-func (e *Entry) zones(v *view, policy *config.Policy, r *Request) []place.Zone {
-	var zones []place.Zone
-	for zone := range v.targets[r.service] {
-		if r.hops > 0 && zone != e.self.Zone {
-			continue
+// pick returns at most count entries that can be reached and don't leave, in
+// random order. It looks at no more entries than it needs, because it stands on
+// the path of every request and a zone may have a hundred.
+func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
+	if len(entries) == 0 || count <= 0 {
+		return nil
+	}
+	now := e.now()
+	picked := make([]store.Entry, 0, min(count, len(entries)))
+	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
+	for range entries {
+		if e.usable(entries[at], now) {
+			picked = append(picked, entries[at])
 		}
-		if len(v.usable(r.service, policy, zone)) > 0 {
-			zones = append(zones, zone)
+		if len(picked) == count {
+			break
 		}
+		at = (at + stride) % len(entries)
 	}
-	slices.SortFunc(zones, func(a, b place.Zone) int {
-		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
-	})
-	return zones
+	return picked
 }
 
-func (e *Entry) distance(zone place.Zone) int {
-	switch {
-	case zone == e.self.Zone:
-		return 0
-	case zone.Region() == e.self.Zone.Region():
-		return 1
+// randomStride returns a step that leads once through all places of a list.
+func randomStride(length int) int {
+	for {
+		stride := 1 + rand.IntN(length)
+		if gcd(stride, length) == 1 {
+			return stride
+		}
 	}
-	return 2
 }
 
-func (e *Entry) tryZone(ctx context.Context, v *view, policy *config.Policy, r *Request, zone place.Zone) (*wire.Answer, error) {
-	if zone == e.self.Zone {
-		return e.tryTarget(ctx, v, policy, r)
-	}
-	entries := e.reachable(v.zoneEntries[zone])
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
 	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+	return a
 }
 
-// reachable returns the entries that can be reached and don't leave, in random
-// order.
-func (e *Entry) reachable(entries []store.Entry) []store.Entry {
-	now := e.now()
-	usable := slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool {
-		health := e.heart.Health(entry.Instance)
-		return entry.Instance == e.self.Instance || entry.State == store.StateLeaving || health.Leaving() || !health.Reachable(now)
-	})
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return usable
-}
-
-// tryTarget hands the request to the less busy of two random targets.
-func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	targets := v.usable(r.service, policy, e.self.Zone)
-	if len(targets) == 0 {
-		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	}
-	first := v.clients[targets[rand.IntN(len(targets))].Target]
-	second := v.clients[targets[rand.IntN(len(targets))].Target]
-	if second.InFlight() < first.InFlight() {
-		first = second
-	}
-	headers := make([]target.Header, 0, len(r.headers))
-	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
-	}
-	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
-	answer, err := first.Do(ctx, request)
-	if err != nil {
-		return nil, err
+func (e *Entry) usable(entry store.Entry, now time.Time) bool {
+	if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+		return false
 	}
-	whole := answerToWire(answer)
-	whole.Target = first.Name()
-	return whole, nil
+	health := e.heart.Health(entry.Instance)
+	return health.Reachable(now) && !health.Leaving()
 }
 
 // forward hands a request to another entry and waits for its answer.
@@ -165,8 +138,10 @@
 	}
 	switch a := answer.(type) {
 	case *wire.Answer:
+		e.limits.learnNear(instance, a.Keeper)
 		return a, nil
 	case *wire.Refused:
+		e.limits.learnNear(instance, a.Keeper)
 		return nil, refusalFromWire(a)
 	}
 	return nil, errs.MayHaveRun(errs.ReasonPeerFailed, "instance %s gave an answer of the wrong kind", instance)
@@ -182,21 +157,26 @@
 	return errs.MayHaveRun(errs.ReasonPeerFailed, "%v", err)
 }
 
-func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) wire.Message {
+func (e *Entry) handleForward(ctx context.Context, peer wire.Hello, f *wire.Forward) wire.Message {
 	r := requestFromWire(f, e.now())
+	r.admitted = peer.Zone.Region() == e.self.Zone.Region() && f.Scope != wire.ScopeHome
 	if r.hops > HopsMax {
 		return refusalToWire(errs.NotRun(errs.ReasonPeerFailed, ComeBack, "the request was handed on %d times already", r.hops))
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	answer, err := e.serveForward(ctx, f.Scope, r)
+	answer, err := e.serveForward(ctx, f, r)
 	if err != nil {
-		return refusalToWire(err)
+		refused := refusalToWire(err)
+		refused.Keeper = e.limits.tell(f.Target)
+		return refused
 	}
-	return answer
+	told := *answer // another call may share the answer
+	told.Keeper = e.limits.tell(answer.Target)
+	return &told
 }
 
-func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
+func (e *Entry) serveForward(ctx context.Context, f *wire.Forward, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -204,8 +184,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	if scope == wire.ScopeHome {
-		return e.serveOnce(ctx, v, policy, r)
+	if f.Scope == wire.ScopeTarget {
+		return e.sendKept(ctx, v, policy, r, f.Target)
 	}
 	return e.route(ctx, v, policy, r)
 }
--- a/plat/server.go
+++ b/plat/server.go
@@ -81,7 +81,7 @@
 	}
 	s.listener = listener
 	s.serving.Go(func() {
-		if err := s.app.Listener(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+		if err := s.app.Listener(listener); err != nil {
 			s.log.WithError(err).Error("Serving ended.")
 		}
 	})
@@ -91,8 +91,8 @@
 // Addr returns the address "host:port" that the server listens at.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close ends all watches and stops serving. The listener is closed too, since
-// a shutdown that comes before the serving goroutine has begun closes nothing.
+// Close ends all watches and stops serving. The listener is closed here too,
+// because the library's shutdown passes over one that it doesn't serve yet.
 func (s *Server) Close() error {
 	close(s.closed)
 	err := s.app.ShutdownWithTimeout(closeTimeout)
--- a/plat/server_test.go
+++ b/plat/server_test.go
@@ -170,7 +170,8 @@
 	want("present", after)
 }
 
-func TestCloseRightAfterListen(t *testing.T) {
+// A server that is closed before its goroutine began to serve must end too.
+func TestCloseAtOnce(t *testing.T) {
 	for range 200 {
 		server := plat.New(logs.Discard())
 		if err := server.Listen("127.0.0.1:0"); err != nil {
--- a/target/observe.go
+++ b/target/observe.go
@@ -10,7 +10,7 @@
 const (
 	// latencyHalfLife is the time in which an old latency loses half its
 	// weight, so that a target that was slow is tried again.
-	latencyHalfLife = 5 * time.Second
+	latencyHalfLife = 2 * time.Second
 	// latencyShare is the weight of a new latency: 1/8.
 	latencyShare = 8
 	// asideMin and asideMax bound how long a target that fails is left alone.
@@ -19,6 +19,9 @@
 	// failuresBad is how many failures in a row after the request was sent make
 	// a target bad. One failed dial is enough.
 	failuresBad = 3
+	// canceledFactor times its age counts for a request that was canceled, as
+	// a hedged one is: the answer would have taken longer, nobody knows how much.
+	canceledFactor = 4
 	// failureLatency is what a failure counts for at least, so that a target
 	// that fails quickly does not look quick.
 	failureLatency = 100 * time.Millisecond
@@ -63,7 +66,7 @@
 		return
 	case errs.ReasonCanceled:
 		if !dial {
-			o.smooth(now, max(took, time.Duration(o.latency.Load())))
+			o.smooth(now, max(canceledFactor*took, time.Duration(o.latency.Load())))
 		}
 		return
 	case errs.ReasonDeadline:
