--- a/entry/follow.go
+++ b/entry/follow.go
@@ -23,8 +23,10 @@
 	tasks.Go(func() { e.heart.Run(ctx) })
 	tasks.Go(func() { e.once.Run(ctx) })
 	tasks.Go(func() { e.chooseWitnesses(ctx) })
+	tasks.Go(func() { e.limits.run(ctx) })
 	tasks.Wait()
 	e.once.Close()
+	e.budgets.hedges.Wait()
 }
 
 // takeRoster makes a new list of instances known to the process. The seeds
