--- a/entry/route.go
+++ b/entry/route.go
@@ -13,7 +13,6 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -21,6 +20,10 @@
 // should come back.
 const ComeBack = 200 * time.Millisecond
 
+// forwardTries is how many entries of an availability zone a request is offered
+// to, as long as each cannot be reached.
+const forwardTries = 3
+
 // Serve leads one request of a caller to a target and returns the whole answer.
 // An error holds an *errs.Refusal, which says whether the request may have run.
 func (e *Entry) Serve(ctx context.Context, r *Request) (*wire.Answer, error) {
@@ -33,6 +36,9 @@
 }
 
 func (e *Entry) serve(ctx context.Context, r *Request) (*wire.Answer, error) {
+	if r.key != "" {
+		return e.serveOnce(ctx, r)
+	}
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -41,7 +47,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	if policy.NonIdempotent(r.method, r.plainPath()) {
-		return e.serveOnce(ctx, v, policy, r)
+		return nil, e.keyMissing(r)
 	}
 	return e.route(ctx, v, policy, r)
 }
@@ -94,7 +100,7 @@
 		}
 	}
 	slices.SortFunc(zones, func(a, b place.Zone) int {
-		return cmp.Or(cmp.Compare(distance(e.self.Zone, a), distance(e.self.Zone, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
 	})
 	return zones
 }
@@ -102,9 +108,12 @@
 // distances is the number of distances that are told apart.
 const distances = 3
 
-// distance tells how far apart two availability zones are: 0 for the same one,
-// 1 within a region, 2 between regions.
-func distance(from, to place.Zone) int {
+// distance tells how far an availability zone is from here.
+func (e *Entry) distance(zone place.Zone) int { return distanceOf(e.self.Zone, zone) }
+
+// distanceOf tells how far apart two availability zones are: 0 for the same
+// one, 1 within a region, 2 between regions.
+func distanceOf(from, to place.Zone) int {
 	switch {
 	case to == from:
 		return 0
@@ -118,25 +127,53 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
-	entries := e.pick(v.zoneEntries[zone], 1)
-	if len(entries) == 0 {
-		return nil, errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
+	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
+		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
+		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun || errs.AsRefusal(err).Reason() != errs.ReasonPeerFailed {
+			return answer, err
+		}
+		last = err
 	}
-	return e.forward(ctx, entries[0].Instance, r.toWire(wire.ScopeZone, e.now()))
+	return nil, last
+}
+
+// forwardable returns the entries that a request may be handed to, at most
+// forwardTries. One that leaves still serves: it comes last.
+func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
+	now := e.now()
+	found := e.pick(entries, forwardTries)
+	return append(found, pick(entries, forwardTries-len(found), func(entry store.Entry) bool {
+		health := e.heart.Health(entry.Instance)
+		leaving := entry.State == store.StateLeaving || health.Leaving()
+		return leaving && health.Reachable(now) && entry.Instance != e.self.Instance
+	})...)
 }
 
 // pick returns at most count entries that can be reached and don't leave, in
-// random order. It looks at no more entries than it needs, because it stands on
-// the path of every request and a zone may have a hundred.
+// random order.
 func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
+	now := e.now()
+	return pick(entries, count, func(entry store.Entry) bool {
+		if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+			return false
+		}
+		health := e.heart.Health(entry.Instance)
+		return health.Reachable(now) && !health.Leaving()
+	})
+}
+
+// pick returns at most count entries that fit, in random order. It looks at no
+// more of them than it needs, because it stands on the path of every request
+// and a zone may have a hundred.
+func pick(entries []store.Entry, count int, fits func(store.Entry) bool) []store.Entry {
 	if len(entries) == 0 || count <= 0 {
 		return nil
 	}
-	now := e.now()
 	picked := make([]store.Entry, 0, min(count, len(entries)))
 	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
 	for range entries {
-		if e.usable(entries[at], now) {
+		if fits(entries[at]) {
 			picked = append(picked, entries[at])
 		}
 		if len(picked) == count {
@@ -164,39 +201,6 @@
 	return a
 }
 
-func (e *Entry) usable(entry store.Entry, now time.Time) bool {
-	if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
-		return false
-	}
-	health := e.heart.Health(entry.Instance)
-	return health.Reachable(now) && !health.Leaving()
-}
-
-// tryTarget hands the request to the less busy of two random targets.
-func (e *Entry) tryTarget(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	targets := v.usable(r.service, policy, e.self.Zone)
-	if len(targets) == 0 {
-		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
-	}
-	first := v.clients[targets[rand.IntN(len(targets))].Target]
-	second := v.clients[targets[rand.IntN(len(targets))].Target]
-	if second.InFlight() < first.InFlight() {
-		first = second
-	}
-	headers := make([]target.Header, 0, len(r.headers))
-	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
-	}
-	request := target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
-	answer, err := first.Do(ctx, request)
-	if err != nil {
-		return nil, err
-	}
-	whole := answerToWire(answer)
-	whole.Target = first.Name()
-	return whole, nil
-}
-
 // forward hands a request to another entry and waits for its answer.
 func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
 	answer, err := e.pool.Call(ctx, instance, message)
@@ -229,14 +233,14 @@
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	answer, err := e.serveForward(ctx, f.Scope, r)
+	answer, err := e.serveForward(ctx, r)
 	if err != nil {
 		return refusalToWire(err)
 	}
 	return answer
 }
 
-func (e *Entry) serveForward(ctx context.Context, scope wire.Scope, r *Request) (*wire.Answer, error) {
+func (e *Entry) serveForward(ctx context.Context, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -244,8 +248,5 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	if scope == wire.ScopeHome {
-		return e.serveOnce(ctx, v, policy, r)
-	}
 	return e.route(ctx, v, policy, r)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -31,7 +31,7 @@
 	for _, entry := range roster.Entries {
 		next.entries[entry.Instance] = entry
 		if next.zoneEntries[entry.Zone] == nil {
-			at := distance(zone, entry.Zone)
+			at := distanceOf(zone, entry.Zone)
 			next.nearZones[at] = append(next.nearZones[at], entry.Zone)
 		}
 		next.zoneEntries[entry.Zone] = append(next.zoneEntries[entry.Zone], entry)
@@ -68,6 +68,6 @@
 // get new work.
 func (v *view) usable(service place.Service, policy *config.Policy, zone place.Zone) []store.Target {
 	return slices.DeleteFunc(slices.Clone(v.targets[service][zone]), func(t store.Target) bool {
-		return t.State == store.StateLeaving || policy.LeavingAt(t.Target, t.Zone)
+		return t.State == store.StateLeaving || policy.LeavingAt(t.Target, t.Zone) || v.leavingByItself(t)
 	})
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -125,6 +125,7 @@
 	newSettings,
 	newRoster,
 	newMember,
+	newOnce,
 }
 
 func newCore(k Kind) Message {
