--- a/entry/route.go
+++ b/entry/route.go
@@ -72,29 +72,38 @@
 // forwardTries. One that leaves still serves: it comes last.
 func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
 	now := e.now()
-	usable := e.pick(entries, forwardTries)
-	for _, entry := range entries {
+	found := e.pick(entries, forwardTries)
+	return append(found, pick(entries, forwardTries-len(found), func(entry store.Entry) bool {
 		health := e.heart.Health(entry.Instance)
 		leaving := entry.State == store.StateLeaving || health.Leaving()
-		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
-			usable = append(usable, entry)
-		}
-	}
-	return usable[:min(len(usable), forwardTries)]
+		return leaving && health.Reachable(now) && entry.Instance != e.self.Instance
+	})...)
 }
 
 // pick returns at most count entries that can be reached and don't leave, in
-// random order. It looks at no more entries than it needs, because it stands on
-// the path of every request and a zone may have a hundred.
+// random order.
 func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
+	now := e.now()
+	return pick(entries, count, func(entry store.Entry) bool {
+		if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+			return false
+		}
+		health := e.heart.Health(entry.Instance)
+		return health.Reachable(now) && !health.Leaving()
+	})
+}
+
+// pick returns at most count entries that fit, in random order. It looks at no
+// more of them than it needs, because it stands on the path of every request
+// and a zone may have a hundred.
+func pick(entries []store.Entry, count int, fits func(store.Entry) bool) []store.Entry {
 	if len(entries) == 0 || count <= 0 {
 		return nil
 	}
-	now := e.now()
 	picked := make([]store.Entry, 0, min(count, len(entries)))
 	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
 	for range entries {
-		if e.usable(entries[at], now) {
+		if fits(entries[at]) {
 			picked = append(picked, entries[at])
 		}
 		if len(picked) == count {
@@ -122,14 +131,6 @@
 	return a
 }
 
-func (e *Entry) usable(entry store.Entry, now time.Time) bool {
-	if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
-		return false
-	}
-	health := e.heart.Health(entry.Instance)
-	return health.Reachable(now) && !health.Leaving()
-}
-
 // forward hands a request to another entry and waits for its answer.
 func (e *Entry) forward(ctx context.Context, instance place.Instance, message *wire.Forward) (*wire.Answer, error) {
 	answer, err := e.pool.Call(ctx, instance, message)
