Keep requests with a key from being hedged, and count them as arrivals

Cause: with the merge of the keepers, whether a request may be hedged or tried again after an unknown fate was read from the settings of the process at hand alone; one with an older policy would have sent a request with a key twice. Requests with a key no longer counted as arrivals, so none of them would have been diverted. Ruled out: a fault of at-most-once; nothing was doubled, lost or wrongly called 'not run'.

--- a/entry/once.go
+++ b/entry/once.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.limits.arrive(r.service, policy)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	return e.route(ctx, e.view.Load(), policy, r)
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -168,7 +168,7 @@
 			return e.tryKeeper(ctx, v, policy, r, c)
 		},
 	}
-	idempotent := !policy.NonIdempotent(r.method, r.plainPath())
+	idempotent := r.key == "" && !policy.NonIdempotent(r.method, r.plainPath())
 	return budget.Run(ctx, e.budgets.of(r.service, policy, e.now()), &e.budgets.hedges, idempotent, route)
 }
 
