--- a/wire/message.go
+++ b/wire/message.go
@@ -128,6 +128,7 @@
 	newRoster,
 	newOnce,
 	newLimits,
+	newMember,
 }
 
 func newCore(k Kind) Message {
