--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,9 +34,9 @@
 	now      func() time.Time
 	log      *logrus.Logger
 	stats    *Stats
-	limits   *limits
 	once     *once.Keys
 	budgets  budgets
+	limits   *limits
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -54,8 +54,8 @@
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
-	e.limits = newLimits(e)
 	e.stats.registry.MustRegister(&e.budgets)
+	e.limits = newLimits(e)
 	e.takeRoster(store.Roster{})
 	return e
 }
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -114,7 +114,7 @@
 	next, found := k.handed[pass]
 	delete(k.handed, pass)
 	k.mu.Unlock()
-	if found && outcome != keeper.OutcomeUnknown {
+	if found && outcome != keeper.OutcomeUnknown && outcome != keeper.OutcomeGivenUp {
 		l.note(context.WithoutCancel(ctx), next.to, &wire.LeftDone{Target: name, AskedNanos: int64(next.asked)})
 	}
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -111,8 +111,8 @@
 // instance of this zone, then another region. The choice stays the same as
 // long as the members do.
 func (e *Entry) chooseWitness() {
-	for _, distance := range []int{1, 0, 2} {
-		zones := e.witnesses(distance)
+	for _, far := range []int{1, 0, 2} {
+		zones := e.witnesses(far)
 		if trusted := e.trusted(zones); len(trusted) > 0 {
 			zones = trusted
 		}
@@ -149,11 +149,11 @@
 	}
 }
 
-// witnesses returns the zones of the live entries at a distance, by instance.
-func (e *Entry) witnesses(distance int) map[string]place.Zone {
+// witnesses returns the zones of the live entries so far away, by instance.
+func (e *Entry) witnesses(far int) map[string]place.Zone {
 	found := map[string]place.Zone{}
 	for zone := range e.view.Load().zoneEntries {
-		if e.distance(zone) != distance {
+		if distance(e.self.Zone, zone) != far {
 			continue
 		}
 		for _, instance := range e.live(zone) {
--- a/entry/route.go
+++ b/entry/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,27 +72,63 @@
 // forwardTries. One that leaves still serves: it comes last.
 func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
 	now := e.now()
-	usable := e.reachable(entries)
-	for _, entry := range entries {
+	found := e.pick(entries, forwardTries)
+	return append(found, pick(entries, forwardTries-len(found), func(entry store.Entry) bool {
 		health := e.heart.Health(entry.Instance)
 		leaving := entry.State == store.StateLeaving || health.Leaving()
-		if leaving && health.Reachable(now) && entry.Instance != e.self.Instance {
-			usable = append(usable, entry)
-		}
-	}
-	return usable[:min(len(usable), forwardTries)]
+		return leaving && health.Reachable(now) && entry.Instance != e.self.Instance
+	})...)
 }
 
-// reachable returns the entries that can be reached and don't leave, in random
-// order.
-func (e *Entry) reachable(entries []store.Entry) []store.Entry {
+// pick returns at most count entries that can be reached and don't leave, in
+// random order.
+func (e *Entry) pick(entries []store.Entry, count int) []store.Entry {
 	now := e.now()
-	usable := slices.DeleteFunc(slices.Clone(entries), func(entry store.Entry) bool {
+	return pick(entries, count, func(entry store.Entry) bool {
+		if entry.Instance == e.self.Instance || entry.State == store.StateLeaving {
+			return false
+		}
 		health := e.heart.Health(entry.Instance)
-		return entry.Instance == e.self.Instance || entry.State == store.StateLeaving || health.Leaving() || !health.Reachable(now)
+		return health.Reachable(now) && !health.Leaving()
 	})
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return usable
+}
+
+// pick returns at most count entries that fit, in random order. It looks at no
+// more of them than it needs, because it stands on the path of every request
+// and a zone may have a hundred.
+func pick(entries []store.Entry, count int, fits func(store.Entry) bool) []store.Entry {
+	if len(entries) == 0 || count <= 0 {
+		return nil
+	}
+	picked := make([]store.Entry, 0, min(count, len(entries)))
+	at, stride := rand.IntN(len(entries)), randomStride(len(entries))
+	for range entries {
+		if fits(entries[at]) {
+			picked = append(picked, entries[at])
+		}
+		if len(picked) == count {
+			break
+		}
+		at = (at + stride) % len(entries)
+	}
+	return picked
+}
+
+// randomStride returns a step that leads once through all places of a list.
+func randomStride(length int) int {
+	for {
+		stride := 1 + rand.IntN(length)
+		if gcd(stride, length) == 1 {
+			return stride
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 // forward hands a request to another entry and waits for its answer.
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -116,11 +116,16 @@
 	return zones
 }
 
-func (e *Entry) distance(zone place.Zone) int {
+// distances is the number of distances that are told apart.
+const distances = 3
+
+// distance tells how far apart two availability zones are: 0 for the same one,
+// 1 within a region, 2 between regions.
+func distance(from, to place.Zone) int {
 	switch {
-	case zone == e.self.Zone:
+	case to == from:
 		return 0
-	case zone.Region() == e.self.Zone.Region():
+	case to.Region() == from.Region():
 		return 1
 	}
 	return 2
@@ -138,6 +143,12 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
+	return e.forwardZone(ctx, v, r, zone)
+}
+
+// forwardZone hands the request to an entry of another zone, and to a further
+// one if the first can't be reached.
+func (e *Entry) forwardZone(ctx context.Context, v *view, r *Request, zone place.Zone) (*wire.Answer, error) {
 	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
 	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
 		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
@@ -169,7 +180,7 @@
 			return e.tryKeeper(ctx, v, policy, r, name)
 		},
 	}
-	idempotent := !policy.NonIdempotent(r.method, r.plainPath())
+	idempotent := r.key == "" && !policy.NonIdempotent(r.method, r.plainPath())
 	return budget.Run(ctx, e.budgets.of(r.service, policy, e.now()), &e.budgets.hedges, idempotent, route)
 }
 
@@ -264,7 +275,11 @@
 		return keeper.OutcomeRan
 	}
 	refusal := errs.AsRefusal(err)
-	if refusal.Verdict() != errs.VerdictNotRun {
+	givenUp := refusal.Reason() == errs.ReasonDeadline || refusal.Reason() == errs.ReasonCanceled
+	switch {
+	case refusal.Verdict() != errs.VerdictNotRun && givenUp:
+		return keeper.OutcomeGivenUp
+	case refusal.Verdict() != errs.VerdictNotRun:
 		return keeper.OutcomeUnknown
 	}
 	switch refusal.Reason() {
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -272,7 +272,7 @@
 		Waiting: g.ledger.Waiting(),
 		Running: g.ledger.Running(),
 		Wait:    g.ledger.Wait(now),
-		Failing: g.ledger.Failures(),
+		Failing: g.ledger.Failures(now),
 		Leaving: g.ledger.leaving,
 	}
 }
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivechute/endivechute/errs"
@@ -20,6 +21,12 @@
 	ReportsAgreeing = 2
 	// ServiceTimeFirst is taken for a target's service time before any answer.
 	ServiceTimeFirst = 20 * time.Millisecond
+	// LingerFactor is for how many mean service times the slot of a request that
+	// was given up stays counted.
+	LingerFactor = 4
+	// FailuresForgotten is the time after the last failure from which on a
+	// target is tried again.
+	FailuresForgotten = 2 * time.Second
 	// serviceTimeWeight is the weight of one answer in the mean service time:
 	// one part in so many.
 	serviceTimeWeight = 16
@@ -38,9 +45,12 @@
 	OutcomeFailed
 	// OutcomeUnused: the slot was given back before the request was sent.
 	OutcomeUnused
-	// OutcomeUnknown: the request was sent and given up; the target may still
-	// run it, so that its slot stays counted as inherited work is.
+	// OutcomeUnknown: the request was sent and its answer didn't come whole; the
+	// target may still run it, so that its slot stays counted for a while.
 	OutcomeUnknown
+	// OutcomeGivenUp: the same, because the caller has gone or the deadline has
+	// passed. It says nothing of the target's health.
+	OutcomeGivenUp
 )
 
 // Limits are what a target allows at once.
@@ -111,6 +121,7 @@
 	shedAt    time.Duration
 	service   time.Duration // mean time from dispatch to answer
 	failures  int           // in a row
+	failedAt  time.Duration // the last one
 }
 
 // NewLedger makes the Ledger of a target that nobody has used.
@@ -238,13 +249,8 @@
 
 // busy returns how many requests are counted as being at the target.
 func (l *Ledger) busy(now time.Duration) int {
-	count := len(l.running)
-	for _, until := range l.inherited {
-		if until > now {
-			count++
-		}
-	}
-	return count
+	l.inherited = slices.DeleteFunc(l.inherited, func(until time.Duration) bool { return until <= now })
+	return len(l.running) + len(l.inherited)
 }
 
 // Free returns how many requests could be sent at the time now. A leaving
@@ -271,8 +277,14 @@
 // Running returns how many requests of this keeper are at the target.
 func (l *Ledger) Running() int { return len(l.running) }
 
-// Failures returns how many requests in a row the target failed.
-func (l *Ledger) Failures() int { return l.failures }
+// Failures returns how many requests in a row the target failed, 0 if the last
+// one was long ago.
+func (l *Ledger) Failures(now time.Duration) int {
+	if now-l.failedAt >= FailuresForgotten {
+		return 0
+	}
+	return l.failures
+}
 
 // ServiceTime returns the mean time from dispatch to answer.
 func (l *Ledger) ServiceTime() time.Duration { return l.service }
@@ -314,16 +326,31 @@
 		l.believed = max(1, min(l.capacity(now), len(l.running)))
 		l.shedAt = now
 	case OutcomeFailed:
-		l.failures++
+		l.fail(now)
 	case OutcomeUnknown:
-		l.failures++
-		l.reports = nil
-		l.handover = 0
-		l.inherited = append(l.inherited, began+l.limits.longest)
+		l.fail(now)
+		l.linger(began, now)
+	case OutcomeGivenUp:
+		l.linger(began, now)
 	case OutcomeUnused:
 	}
 }
 
+func (l *Ledger) fail(now time.Duration) {
+	l.failures++
+	l.failedAt = now
+}
+
+// linger keeps the slot of a request counted that the target may still run:
+// for LingerFactor times its mean service time. Until the longest time would be
+// safe, but with many requests given up, as in an overload, it would leave the
+// target idle.
+func (l *Ledger) linger(began, now time.Duration) {
+	l.reports = nil
+	l.handover = 0
+	l.inherited = append(l.inherited, min(began+l.limits.longest, now+LingerFactor*l.service))
+}
+
 // restore forgets a shedding once the target is believed to have all its slots.
 func (l *Ledger) restore(now time.Duration) {
 	if l.believed+int((now-l.shedAt)/ShedRecovery) >= l.limits.allowed() {
@@ -344,11 +371,11 @@
 }
 
 // Next starts the requests for which there is room, in the order in which they
-// came, and returns those whose deadline passed while they waited.
+// came, and returns those whose answer would come too late by now.
 func (l *Ledger) Next(now time.Duration) (started []Started, late []uint64) {
 	for len(l.queue) > 0 {
 		first := l.queue[0]
-		if first.deadline <= now {
+		if first.deadline <= now+l.service {
 			late = append(late, first.id)
 			l.queue = l.queue[1:]
 			continue
--- a/keeper/rules_test.go
+++ b/keeper/rules_test.go
@@ -262,6 +262,36 @@
 	return g
 }
 
+func TestLedgerHealth(t *testing.T) {
+	l := keeper.NewLedger(keeper.NewLimits(4, 9, 2*second))
+	for id, outcome := range []keeper.Outcome{keeper.OutcomeGivenUp, keeper.OutcomeUnknown, keeper.OutcomeFailed} {
+		l.Arrive(uint64(id), second, 0)
+		l.Finish(uint64(id), outcome, 0)
+	}
+	if got := l.Failures(keeper.FailuresForgotten - 1); got != 2 {
+		t.Errorf("%d failures, want 2: a request that was given up is none", got)
+	}
+	if got := l.Failures(keeper.FailuresForgotten); got != 0 {
+		t.Errorf("%d failures a while later, want 0, so that the target is tried again", got)
+	}
+	linger := keeper.LingerFactor * keeper.ServiceTimeFirst
+	if before, after := l.Free(linger-1), l.Free(linger); before != 2 || after != 4 {
+		t.Errorf("%d slots are free before given-up work has ended and %d after, want 2 and 4", before, after)
+	}
+}
+
+// TestNoStartTooLate lets a slot come free when the answer would be late.
+func TestNoStartTooLate(t *testing.T) {
+	l := keeper.NewLedger(keeper.NewLimits(1, 9, second))
+	l.Arrive(1, second, 0)
+	l.Arrive(2, 100*time.Millisecond, 0)
+	now := 100*time.Millisecond - keeper.ServiceTimeFirst
+	l.Finish(1, keeper.OutcomeUnused, now)
+	if started, late := l.Next(now); len(started) != 0 || len(late) != 1 {
+		t.Errorf("%d started and %d late, want the one to be late", len(started), len(late))
+	}
+}
+
 func TestGateConcurrent(t *testing.T) {
 	gate := soleGate(3, func() time.Duration { return 0 })
 	var mu sync.Mutex
--- a/wire/message.go
+++ b/wire/message.go
@@ -126,8 +126,9 @@
 	newCore,
 	newSettings,
 	newRoster,
-	newLimits,
 	newOnce,
+	newLimits,
+	newMember,
 }
 
 func newCore(k Kind) Message {
