Count a target's latency and the age of what hangs there

Cause: the choice looked at free slots alone. A region without targets of a service is no home, so that leaving it needs no credit.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -76,6 +76,7 @@
 	admission steer.Admission
 	meters    atomic.Pointer[map[place.Service]*meter]
 	known     atomic.Bool
+	updated   bool // the last update knew settings and instances; used by the round alone
 	woken     chan struct{}
 	heard     map[place.Instance]firstHeard // used by the round alone
 	full      sync.Map                      // place.Region -> time.Duration of the last refusal
@@ -108,7 +109,7 @@
 // notes the first time that all are.
 func (l *limits) settle() (unsettled bool) {
 	now := l.clock()
-	sure := l.entry.informed()
+	sure := l.updated
 	for _, k := range *l.targets.Load() {
 		view := k.view.Load()
 		_, known := l.leases.Keeper(k.resource, now)
@@ -185,6 +186,7 @@
 // update takes in the newest list of instances and settings.
 func (l *limits) update() {
 	e := l.entry
+	informed := e.informed()
 	v := e.view.Load()
 	now := l.clock()
 	var resources []keeper.Resource
@@ -197,6 +199,7 @@
 	l.updateTargets(v, now)
 	l.updateShare(v, now)
 	l.updateMeters(now)
+	l.updated = informed
 }
 
 // members returns the listed entries of the zone, without those whose process
@@ -422,7 +425,7 @@
 		return nil
 	}
 	v := k.gate.View()
-	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving}
+	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), LatencyMicros: v.Latency.Microseconds(), Failures: v.Failing, Leaving: v.Leaving}
 }
 
 // leave gives the leases up before a planned stop.
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -78,8 +78,9 @@
 
 func (e *Entry) routeOnce(ctx context.Context, v *view, policy *config.Policy, r *Request, credit steer.Credit, planned place.Region, zones []steer.Zone) (*wire.Answer, error) {
 	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a usable target of service %s", r.service)
+	home := v.isHome(r.service, e.self.Zone.Region())
 	for _, zone := range steer.Order(e.self.Zone, planned, zones, rand.IntN) {
-		if steer.NeedsSpill(e.self.Zone, planned, zone) && !credit.Spill() {
+		if home && steer.NeedsSpill(e.self.Zone, planned, zone) && !credit.Spill() {
 			return nil, last
 		}
 		answer, err := e.tryZone(ctx, v, policy, r, zone)
@@ -97,6 +98,17 @@
 	return nil, last
 }
 
+// isHome tells whether the region has targets of the service, usable or not.
+// Requests that reach another region are no shift when they leave it.
+func (v *view) isHome(service place.Service, region place.Region) bool {
+	for zone := range v.targets[service] {
+		if zone.Region() == region {
+			return true
+		}
+	}
+	return false
+}
+
 // zones returns the availability zones with usable targets, and what is known
 // of their regions. A request that has come from another entry stays in this
 // zone.
@@ -215,13 +227,14 @@
 		if k.hold.Held(now) {
 			own := k.gate.View()
 			c := steer.NewCandidate(t.Target, e.self.Instance)
-			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0))
+			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0).WithLatency(own.Latency))
 			continue
 		}
 		c := steer.NewCandidate(t.Target, *k.keeper.Load())
 		if told := k.view.Load(); told != nil {
 			wait := time.Duration(told.WaitMicros) * time.Microsecond
 			c = c.WithView(told.Free, wait, told.Failures, told.Leaving || k.leaving.Load(), now-told.gained, int(k.sent.Load()))
+			c = c.WithLatency(time.Duration(told.LatencyMicros) * time.Microsecond)
 		}
 		candidates = append(candidates, c)
 	}
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -34,6 +34,7 @@
 	Waiting int           `msgpack:"waiting" json:"waiting"`
 	Running int           `msgpack:"running" json:"running"`
 	Wait    time.Duration `msgpack:"wait" json:"wait_ns"`
+	Latency time.Duration `msgpack:"latency" json:"latency_ns"`
 	Failing int           `msgpack:"failing" json:"failures_in_a_row"`
 	Leaving bool          `msgpack:"leaving" json:"leaving"`
 }
@@ -272,6 +273,7 @@
 		Waiting: g.ledger.Waiting(),
 		Running: g.ledger.Running(),
 		Wait:    g.ledger.Wait(now),
+		Latency: g.ledger.Latency(now),
 		Failing: g.ledger.Failures(now),
 		Leaving: g.ledger.leaving,
 	}
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -120,6 +120,7 @@
 	believed  int // slots that the target is believed to have after it shed
 	shedAt    time.Duration
 	service   time.Duration // mean time from dispatch to answer
+	sampled   time.Duration // when the mean last changed
 	failures  int           // in a row
 	failedAt  time.Duration // the last one
 }
@@ -268,7 +269,7 @@
 		return 0
 	}
 	capacity := max(1, l.capacity(now))
-	return l.service * time.Duration(len(l.queue)+1) / time.Duration(capacity)
+	return max(l.service, l.Latency(now)) * time.Duration(len(l.queue)+1) / time.Duration(capacity)
 }
 
 // Waiting returns how many requests wait.
@@ -286,8 +287,25 @@
 	return l.failures
 }
 
-// ServiceTime returns the mean time from dispatch to answer.
-func (l *Ledger) ServiceTime() time.Duration { return l.service }
+func (l *Ledger) sample(took, now time.Duration) {
+	l.service += (took - l.service) / serviceTimeWeight
+	l.sampled = now
+}
+
+// Latency returns how long a request is expected to take at the target: the mean
+// time to its answers or, if that is longer, the mean age of what runs there now.
+// After a while without an answer it is 0, so that the target is tried again.
+func (l *Ledger) Latency(now time.Duration) time.Duration {
+	var ages time.Duration
+	for _, began := range l.running {
+		ages += now - began
+	}
+	age := ages / time.Duration(max(len(l.running), 1))
+	if now-l.sampled >= FailuresForgotten {
+		return age
+	}
+	return max(l.service, age)
+}
 
 // Arrive decides for a new request with a number of its own. The deadline is a
 // time on the same clock as now.
@@ -320,7 +338,7 @@
 	switch outcome {
 	case OutcomeRan:
 		l.failures = 0
-		l.service += (now - began - l.service) / serviceTimeWeight
+		l.sample(now-began, now)
 		l.restore(now)
 	case OutcomeShed:
 		l.believed = max(1, min(l.capacity(now), len(l.running)))
@@ -347,6 +365,9 @@
 // target idle.
 func (l *Ledger) linger(began, now time.Duration) {
 	l.reports = nil
+	if now-began > l.service {
+		l.sample(now-began, now)
+	}
 	l.handover = 0
 	l.inherited = append(l.inherited, min(began+l.limits.longest, now+LingerFactor*l.service))
 }
--- a/keeper/rules_test.go
+++ b/keeper/rules_test.go
@@ -280,6 +280,21 @@
 	}
 }
 
+func TestLedgerLatency(t *testing.T) {
+	l := keeper.NewLedger(keeper.NewLimits(2, 9, second))
+	l.Arrive(1, second, 0)
+	if got := l.Latency(second / 2); got != second/2 {
+		t.Errorf("latency %v with a request that hangs for 500 ms, want that", got)
+	}
+	l.Finish(1, keeper.OutcomeGivenUp, second/2)
+	if got := l.Latency(second); got <= keeper.ServiceTimeFirst {
+		t.Errorf("latency %v after a request that hung, want more than %v", got, keeper.ServiceTimeFirst)
+	}
+	if got := l.Latency(second/2 + keeper.FailuresForgotten); got != 0 {
+		t.Errorf("latency %v a while later, want 0, so that the target is tried again", got)
+	}
+}
+
 // TestNoStartTooLate lets a slot come free when the answer would be late.
 func TestNoStartTooLate(t *testing.T) {
 	l := keeper.NewLedger(keeper.NewLimits(1, 9, second))
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -21,6 +21,9 @@
 	// UnknownWait is the least wait that is expected at a target of which
 	// nothing is known: unknown never counts as idle.
 	UnknownWait = 20 * time.Millisecond
+	// LatencyRatio is how many times longer a target takes than another one
+	// before that counts.
+	LatencyRatio = 2
 	// AsideDivisor: no more than one in so many of a zone's targets is set
 	// aside for bad health at once.
 	AsideDivisor = 3
@@ -35,6 +38,7 @@
 	keeper   place.Instance
 	known    bool
 	wait     time.Duration
+	latency  time.Duration
 	free     int
 	age      time.Duration
 	sent     int // sent to its keeper since the knowledge was gained
@@ -62,6 +66,12 @@
 	return c
 }
 
+// WithLatency adds how long a request is expected to take once it has a slot.
+func (c Candidate) WithLatency(latency time.Duration) Candidate {
+	c.latency = latency
+	return c
+}
+
 // Target returns the target.
 func (c Candidate) Target() place.Target { return c.target }
 
@@ -82,6 +92,17 @@
 	return c.wait + service*time.Duration(c.sent-c.free)
 }
 
+// timeBeside returns the expected wait and, if it is much longer than the
+// other's, the time to run. A small difference doesn't count: it would starve a
+// target that is a little slower.
+func (c Candidate) timeBeside(other Candidate, service time.Duration) time.Duration {
+	wait := c.ExpectedWait(service)
+	if c.latency > LatencyRatio*other.latency {
+		wait += c.latency
+	}
+	return wait
+}
+
 // Usable returns the candidates that may get new work: none that leave, and of
 // those that fail no more than one in AsideDivisor left out, the worst first.
 func Usable(candidates []Candidate) []Candidate {
@@ -111,7 +132,7 @@
 		j++
 	}
 	first, second := usable[i], usable[j]
-	if second.ExpectedWait(service) < first.ExpectedWait(service) {
+	if second.timeBeside(first, service) < first.timeBeside(second, service) {
 		first, second = second, first
 	}
 	return []Candidate{first, second}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -69,6 +69,14 @@
 			target("long").WithView(0, 90*ms, 0, false, 0, 0),
 			target("unknown"),
 		}, "unknown"},
+		"slow is avoided": {[]steer.Candidate{
+			target("slow").WithView(4, 0, 0, false, 0, 0).WithLatency(300 * ms),
+			target("long").WithView(0, 90*ms, 0, false, 0, 0),
+		}, "long"},
+		"a little slower is as good": {[]steer.Candidate{
+			target("slower").WithView(4, 0, 0, false, 0, 0).WithLatency(6 * ms),
+			target("quick").WithView(4, 0, 0, false, 0, 0).WithLatency(5 * ms),
+		}, "slower"},
 		"leaving": {[]steer.Candidate{
 			target("leaving").WithView(4, 0, 0, true, 0, 0),
 			target("long").WithView(0, 90*ms, 0, false, 0, 0),
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -67,8 +67,10 @@
 	Target     place.Target `msgpack:"t"`
 	Free       int          `msgpack:"f"`
 	WaitMicros int64        `msgpack:"w"`
-	Failures   int          `msgpack:"b"`
-	Leaving    bool         `msgpack:"l"`
+	// LatencyMicros is how long a request is expected to run.
+	LatencyMicros int64 `msgpack:"y"`
+	Failures      int   `msgpack:"b"`
+	Leaving       bool  `msgpack:"l"`
 }
 
 // Noted answers a message that needs no other answer.
