--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -24,9 +24,14 @@
 	// LingerFactor is for how many mean service times the slot of a request that
 	// was given up stays counted.
 	LingerFactor = 4
+	// SlowFactor is how many mean service times a request that was given up has
+	// to have taken to count as a failure.
+	SlowFactor = 2
 	// FailuresForgotten is the time after the last failure from which on a
 	// target is tried again.
 	FailuresForgotten = 2 * time.Second
+	// halvingsMax is how often a mean service time is halved at most.
+	halvingsMax = 20
 	// serviceTimeWeight is the weight of one answer in the mean service time:
 	// one part in so many.
 	serviceTimeWeight = 16
@@ -48,8 +53,9 @@
 	// OutcomeUnknown: the request was sent and its answer didn't come whole; the
 	// target may still run it, so that its slot stays counted for a while.
 	OutcomeUnknown
-	// OutcomeGivenUp: the same, because the caller has gone or the deadline has
-	// passed. It says nothing of the target's health.
+	// OutcomeGivenUp: the same, because the caller has gone, another target was
+	// quicker or the deadline has passed. It speaks against the target's health
+	// only if it took much longer than others did.
 	OutcomeGivenUp
 )
 
@@ -294,17 +300,16 @@
 
 // Latency returns how long a request is expected to take at the target: the mean
 // time to its answers or, if that is longer, the mean age of what runs there now.
-// After a while without an answer it is 0, so that the target is tried again.
+// Without an answer it halves every FailuresForgotten, so that a target which was
+// slow is tried again.
 func (l *Ledger) Latency(now time.Duration) time.Duration {
 	var ages time.Duration
 	for _, began := range l.running {
 		ages += now - began
 	}
 	age := ages / time.Duration(max(len(l.running), 1))
-	if now-l.sampled >= FailuresForgotten {
-		return age
-	}
-	return max(l.service, age)
+	halvings := min(max(now-l.sampled, 0)/FailuresForgotten, halvingsMax)
+	return max(l.service>>halvings, age)
 }
 
 // Arrive decides for a new request with a number of its own. The deadline is a
@@ -349,6 +354,9 @@
 		l.fail(now)
 		l.linger(began, now)
 	case OutcomeGivenUp:
+		if now-began > SlowFactor*l.service {
+			l.fail(now)
+		}
 		l.linger(began, now)
 	case OutcomeUnused:
 	}
