Keep queues short, free canceled slots and shun slow targets at the keepers

Cause: with the keepers in the path reads in overload and beside a hanging target got worse: a queue was as long as the callers' patience, a canceled read kept its slot until its longest time, as if its fate were unknown, counted as a failure of the target, and a slow target with free slots was chosen as any other. Ruled out: freeing the slot of every request that was given up: one that is not idempotent runs to its end. Conclusion: a request queues only if twice the expected wait fits into its time; the keepers tell how long answers take.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -354,7 +354,7 @@
 		return nil
 	}
 	v := k.gate.View()
-	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving}
+	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds()}
 }
 
 // leave gives the leases up before a planned stop.
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -216,13 +216,14 @@
 		if k.hold.Held(now) {
 			own := k.gate.View()
 			c := steer.NewCandidate(t.Target, e.self.Instance)
-			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0))
+			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0).WithService(own.Service))
 			continue
 		}
 		c := steer.NewCandidate(t.Target, *k.keeper.Load())
 		if told := k.view.Load(); told != nil {
 			wait := time.Duration(told.WaitMicros) * time.Microsecond
 			c = c.WithView(told.Free, wait, told.Failures, told.Leaving || k.leaving.Load(), now-told.gained, int(k.sent.Load()))
+			c = c.WithService(time.Duration(told.ServiceMicros) * time.Microsecond)
 		}
 		candidates = append(candidates, c)
 	}
@@ -253,7 +254,7 @@
 		return nil, errs.NotRun(errs.ReasonLostKeeper, ComeBack, "instance %s ceased to be the keeper of target %s", e.self.Instance, name)
 	}
 	answer, err := client.Do(ctx, targetRequest(policy, r))
-	e.limits.done(ctx, name, k, pass, outcomeOf(err))
+	e.limits.done(ctx, name, k, pass, outcomeOf(err, !policy.NonIdempotent(r.method, r.plainPath())))
 	if err != nil {
 		return nil, err
 	}
@@ -270,13 +271,18 @@
 	return target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
 }
 
-// outcomeOf tells what became of the slot.
-func outcomeOf(err error) keeper.Outcome {
+// outcomeOf tells what became of the slot. Targets stop idempotent requests
+// whose connection is closed.
+func outcomeOf(err error, idempotent bool) keeper.Outcome {
 	if err == nil {
 		return keeper.OutcomeRan
 	}
 	refusal := errs.AsRefusal(err)
-	if refusal.Verdict() != errs.VerdictNotRun {
+	givenUp := refusal.Reason() == errs.ReasonCanceled || refusal.Reason() == errs.ReasonDeadline
+	switch {
+	case refusal.Verdict() != errs.VerdictNotRun && idempotent && givenUp:
+		return keeper.OutcomeCanceled
+	case refusal.Verdict() != errs.VerdictNotRun:
 		return keeper.OutcomeUnknown
 	}
 	switch refusal.Reason() {
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -36,6 +36,8 @@
 	Wait    time.Duration `msgpack:"wait" json:"wait_ns"`
 	Failing int           `msgpack:"failing" json:"failures_in_a_row"`
 	Leaving bool          `msgpack:"leaving" json:"leaving"`
+	// Service is the time from dispatch to answer.
+	Service time.Duration `msgpack:"service" json:"service_ns"`
 }
 
 // NewGate makes the Gate of a target. The clock is the one that the Leases
@@ -274,5 +276,6 @@
 		Wait:    g.ledger.Wait(now),
 		Failing: g.ledger.Failures(),
 		Leaving: g.ledger.leaving,
+		Service: g.ledger.AnswerTime(now),
 	}
 }
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -23,6 +23,20 @@
 	// serviceTimeWeight is the weight of one answer in the mean service time:
 	// one part in so many.
 	serviceTimeWeight = 16
+	// ServiceTimeHalfLife is the time in which a mean service time that no
+	// answer renews loses half of what it has above ServiceTimeFirst, so that a
+	// target that was slow is tried again.
+	ServiceTimeHalfLife = 2 * time.Second
+	// CancelTime is how long a target may take to give up a request after its
+	// connection was closed.
+	CancelTime = 50 * time.Millisecond
+	// canceledFactor times its age counts for a canceled request: its answer
+	// would have taken longer, nobody knows how much.
+	canceledFactor = 4
+	// waitMargin is how many times the expected wait has to fit into the time
+	// left. Without it a queue in overload is as long as the callers' patience,
+	// and most answers come just too late.
+	waitMargin = 2
 )
 
 // Outcome is how the work of a request at a target ended.
@@ -41,6 +55,9 @@
 	// OutcomeUnknown: the request was sent and given up; the target may still
 	// run it, so that its slot stays counted as inherited work is.
 	OutcomeUnknown
+	// OutcomeCanceled: the request was sent and given up, and it is one that a
+	// target stops when its connection is closed.
+	OutcomeCanceled
 )
 
 // Limits are what a target allows at once.
@@ -110,6 +127,7 @@
 	believed  int // slots that the target is believed to have after it shed
 	shedAt    time.Duration
 	service   time.Duration // mean time from dispatch to answer
+	learnedAt time.Duration // when service was last learned
 	failures  int           // in a row
 }
 
@@ -288,7 +306,7 @@
 		return Started{id: id}
 	}
 	wait := l.Wait(now)
-	if now+wait+l.service > deadline {
+	if now+waitMargin*wait+l.service > deadline {
 		return Refused{reason: errs.ReasonDeadline, comeBack: wait}
 	}
 	if len(l.queue) >= QueuePerSlot*l.limits.allowed() {
@@ -308,7 +326,7 @@
 	switch outcome {
 	case OutcomeRan:
 		l.failures = 0
-		l.service += (now - began - l.service) / serviceTimeWeight
+		l.learnService(now-began, now)
 		l.restore(now)
 	case OutcomeShed:
 		l.believed = max(1, min(l.capacity(now), len(l.running)))
@@ -320,10 +338,28 @@
 		l.reports = nil
 		l.handover = 0
 		l.inherited = append(l.inherited, began+l.limits.longest)
+	case OutcomeCanceled:
+		l.learnService(max(l.service, canceledFactor*(now-began)), now)
+		l.inherited = append(l.inherited, now+CancelTime)
 	case OutcomeUnused:
 	}
 }
 
+func (l *Ledger) learnService(took, now time.Duration) {
+	l.service += (took - l.service) / serviceTimeWeight
+	l.learnedAt = now
+}
+
+// AnswerTime returns how long a request takes from dispatch to answer, as far
+// as old answers still count at the time now.
+func (l *Ledger) AnswerTime(now time.Duration) time.Duration {
+	above := l.service - ServiceTimeFirst
+	for age := now - l.learnedAt; age >= ServiceTimeHalfLife && above > 0; age -= ServiceTimeHalfLife {
+		above /= 2
+	}
+	return ServiceTimeFirst + above
+}
+
 // restore forgets a shedding once the target is believed to have all its slots.
 func (l *Ledger) restore(now time.Duration) {
 	if l.believed+int((now-l.shedAt)/ShedRecovery) >= l.limits.allowed() {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -40,6 +40,7 @@
 	sent     int // sent to its keeper since the knowledge was gained
 	failures int
 	leaving  bool
+	service  time.Duration
 }
 
 // NewCandidate makes a Candidate of which nothing is known but its keeper.
@@ -62,6 +63,12 @@
 	return c
 }
 
+// WithService adds how long the target takes to answer once it has a slot.
+func (c Candidate) WithService(service time.Duration) Candidate {
+	c.service = service
+	return c
+}
+
 // Target returns the target.
 func (c Candidate) Target() place.Target { return c.target }
 
@@ -111,12 +118,24 @@
 		j++
 	}
 	first, second := usable[i], usable[j]
-	if second.ExpectedWait(service) < first.ExpectedWait(service) {
+	if sooner(second, first, service) {
 		first, second = second, first
 	}
 	return []Candidate{first, second}
 }
 
+// sooner tells whether a is expected to answer before b. Of two that have no
+// difference in their waits the one that answers in less than two thirds of the
+// other's time is: smaller differences are noise, and following them would
+// starve a target for one slow answer.
+func sooner(a, b Candidate, service time.Duration) bool {
+	waitA, waitB := a.ExpectedWait(service), b.ExpectedWait(service)
+	if waitA == waitB {
+		return a.service+a.service/2 < b.service
+	}
+	return waitA+a.service < waitB+b.service
+}
+
 // Zone is an availability zone that has usable targets of the service.
 type Zone struct {
 	name    place.Zone
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -45,6 +45,18 @@
 			target("busy").WithView(0, 30*ms, 0, false, 0, 0),
 			target("free").WithView(2, 0, 0, false, 0, 0),
 		}, "free"},
+		"quicker answer": {[]steer.Candidate{
+			target("slow").WithView(4, 0, 0, false, 0, 0).WithService(100 * ms),
+			target("quick").WithView(4, 0, 0, false, 0, 0).WithService(5 * ms),
+		}, "quick"},
+		"a quick one that is full": {[]steer.Candidate{
+			target("quick").WithView(0, 200*ms, 0, false, 0, 0).WithService(5 * ms),
+			target("slow").WithView(4, 0, 0, false, 0, 0).WithService(100 * ms),
+		}, "slow"},
+		"nearly as quick": {[]steer.Candidate{
+			target("nearly").WithView(4, 0, 0, false, 0, 0).WithService(7 * ms),
+			target("quick").WithView(4, 0, 0, false, 0, 0).WithService(5 * ms),
+		}, "nearly"},
 		"shorter wait": {[]steer.Candidate{
 			target("long").WithView(0, 30*ms, 0, false, 0, 0),
 			target("short").WithView(0, 10*ms, 0, false, 0, 0),
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -69,6 +69,8 @@
 	WaitMicros int64        `msgpack:"w"`
 	Failures   int          `msgpack:"b"`
 	Leaving    bool         `msgpack:"l"`
+	// ServiceMicros is the time from dispatch to answer.
+	ServiceMicros int64 `msgpack:"s"`
 }
 
 // Noted answers a message that needs no other answer.
