Be ready only when the region's share is in force

Cause: an entry told that it was ready as soon as it knew the keepers of its zone's targets, but its share of the region's limit is held at zero for RaiseDelay (4 s) after its start, so it refused everything with region-full; and a region that got its first limit while it ran refused everything as long. Ruled out: the kill of the entry (the refusals came before it); the choice of another zone (the refusal is the region's, at the first entry). Conclusion: readiness waits for the share; a first limit is in force at once.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -98,8 +98,12 @@
 // clock returns the time since the process began, never 0.
 func (l *limits) clock() time.Duration { return l.entry.now().Sub(l.began) + 1 }
 
-// settled tells whether the keepers of the zone's targets are known.
-func (l *limits) settled() bool { return l.known.Load() || l.clock() >= settleTime }
+// settled tells whether the keepers of the zone's targets are known and the
+// entry's share of its region's limit is in force.
+func (l *limits) settled() bool {
+	now := l.clock()
+	return l.known.Load() || now >= settleTime && l.admission.Settled(now)
+}
 
 // settle works out whether the keepers are known for the first time.
 func (l *limits) settle() {
@@ -107,6 +111,9 @@
 		return
 	}
 	now := l.clock()
+	if !l.admission.Settled(now) {
+		return
+	}
 	for _, k := range *l.targets.Load() {
 		if _, known := l.leases.Keeper(k.resource, now); !known && k.view.Load() == nil {
 			return
@@ -256,6 +263,9 @@
 // updateShare takes in this entry's part of its region's limit.
 func (l *limits) updateShare(v *view, now time.Duration) {
 	e := l.entry
+	if !e.informed() {
+		return
+	}
 	limit, limited := e.relay.Tables().Fleet().InFlightLimit(e.self.Zone.Region())
 	var members []place.Instance
 	for zone, entries := range v.zoneEntries {
--- a/steer/admit.go
+++ b/steer/admit.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -48,12 +49,17 @@
 
 // SetShare takes in the share of this entry as the newest list and settings
 // have it. A smaller one is in force at once, a larger one after RaiseDelay.
-// With limited false the region has no limit.
+// With limited false the region has no limit; its first limit is then in force
+// at once, as it is smaller than none.
 func (a *Admission) SetShare(share int, limited bool, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.settle(now)
 	a.limited = limited
+	if !limited {
+		share = math.MaxInt
+		a.share = share
+	}
 	if share > a.wanted {
 		a.raiseAt = now + RaiseDelay
 	}
@@ -61,6 +67,15 @@
 	a.share = min(a.share, share)
 }
 
+// Settled tells whether the first share of a new entry is in force. Before, the
+// entry would refuse requests for which the region has room.
+func (a *Admission) Settled(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settle(now)
+	return !a.limited || a.share > 0 || a.wanted == 0
+}
+
 func (a *Admission) settle(now time.Duration) {
 	if now >= a.raiseAt {
 		a.share = a.wanted
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -264,3 +264,43 @@
 		t.Error("nothing was admitted or refused, so nothing was tested")
 	}
 }
+
+// A new entry has settled once its share is in force; a region that gets its
+// first limit while it runs uses the share at once.
+func TestAdmissionSettles(t *testing.T) {
+	type step struct {
+		share   int
+		limited bool
+		at      time.Duration
+	}
+	tests := map[string]struct {
+		steps   []step
+		at      time.Duration
+		settled bool
+		admits  int
+	}{
+		"new, limited, at first":    {[]step{{3, true, 0}}, steer.RaiseDelay - ms, false, 0},
+		"new, limited, later":       {[]step{{3, true, 0}}, steer.RaiseDelay, true, 3},
+		"new, no limit":             {[]step{{0, false, 0}}, 0, true, 9},
+		"first limit while it runs": {[]step{{0, false, 0}, {3, true, ms}}, ms, true, 3},
+		"limit taken away":          {[]step{{3, true, 0}, {0, false, ms}}, ms, true, 9},
+		"larger share":              {[]step{{3, true, 0}, {5, true, steer.RaiseDelay}}, steer.RaiseDelay, true, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var admission steer.Admission
+			for _, s := range test.steps {
+				admission.SetShare(s.share, s.limited, s.at)
+			}
+			admits := 0
+			for range 9 {
+				if admission.Admit(test.at) {
+					admits++
+				}
+			}
+			if got := admission.Settled(test.at); got != test.settled || admits != test.admits {
+				t.Errorf("Settled() = %v, admitted %d, want %v, %d", got, admits, test.settled, test.admits)
+			}
+		})
+	}
+}
