--- a/entry/lease.go
+++ b/entry/lease.go
@@ -42,7 +42,9 @@
 
 func (l *limits) handleBeat(ctx context.Context, from place.Instance, m *wire.LeaseBeat) wire.Message {
 	beat := keeper.Beat{Incarnation: m.Incarnation, Sent: time.Duration(m.SentNanos)}
+	released := false
 	for _, a := range m.Asks {
+		released = released || a.Release
 		beat.Asks = append(beat.Asks, keeper.Ask{Resource: keeper.Resource(a.Resource), View: a.View, Release: a.Release})
 	}
 	ack, transfers := l.leases.HandleBeat(from, beat, l.clock())
@@ -51,6 +53,9 @@
 		calls.Go(func() { l.handOver(ctx, t) })
 	}
 	calls.Wait()
+	if released {
+		l.wake()
+	}
 	answer := &wire.LeaseAck{Incarnation: ack.Incarnation, SentNanos: int64(ack.Sent)}
 	for _, r := range ack.Granted {
 		answer.Granted = append(answer.Granted, string(r))
