--- a/suite/commands_test.go
+++ b/suite/commands_test.go
@@ -23,9 +23,9 @@
 // commands are the scenario commands. NAME stands for the name of a process;
 // targets of process NAME are NAME-1, NAME-2 and so on.
 //
-//	platform                                start the platform
+//	platform                                start the platform; its address is $PLATFORM
 //	policy TEAM/SERVICE FILE                write a policy
-//	entry NAME ZONE [--flag=...]            start an entry and list it
+//	entry NAME ZONE [--flag=...]            start an entry and list it; $OPERATOR_NAME is its operators' port
 //	restart ENTRY                           kill it and start it again, with all others as peer seeds
 //	targets NAME ZONE SERVICE COUNT [--..]  start targets and list them
 //	state NAME live|leaving|gone            change the list of instances
@@ -96,8 +96,9 @@
 	}
 }
 
-func platformCommand(f *fleet, _ *testscript.TestScript, _ []string) error {
+func platformCommand(f *fleet, ts *testscript.TestScript, _ []string) error {
 	f.platform = freeAddress()
+	ts.Setenv("PLATFORM", f.platform)
 	if err := f.start("platform", "standin", "platform", "--address="+f.platform); err != nil {
 		return err
 	}
@@ -108,8 +109,10 @@
 	return f.putPolicy(args[0], ts.ReadFile(args[1]))
 }
 
-func entryCommand(f *fleet, _ *testscript.TestScript, args []string) error {
-	return f.startEntry(args[0], args[1], args[2:])
+func entryCommand(f *fleet, ts *testscript.TestScript, args []string) error {
+	err := f.startEntry(args[0], args[1], args[2:])
+	ts.Setenv("OPERATOR_"+args[0], f.operators[args[0]])
+	return err
 }
 
 func restartCommand(f *fleet, _ *testscript.TestScript, args []string) error {
