Let a command refuse what is not the team's, and bound the rounds of a relay

Cause: a write outside the team's subtree was refused by the store only; a relay that is told of newer settings often could run rounds without a pause. Ruled out: deriving the team from the token, whose form is the platform's.

--- a/cmd/endivechute/manage.go
+++ b/cmd/endivechute/manage.go
@@ -23,6 +23,7 @@
 	address *string
 	token   *string
 	author  *string
+	team    *string
 	path    *string
 	version *uint64
 }
@@ -34,6 +35,7 @@
 	f := &operatorFlags{flags: flags, address: flags.String("platform-address", "", "IP:port of the platform's store")}
 	if writes {
 		f.token = flags.String("token", "", "the team's token, if the store wants one")
+		f.team = flags.String("team", "", "refuse to change anything but this team's settings")
 		f.author = flags.String("author", "", "who makes the change; it is kept with the settings")
 	}
 	return f
@@ -57,16 +59,16 @@
 	if f.path != nil && *f.path == "" {
 		return errors.Mark(errors.New("path: none is given; want fleet, teams/TEAM or teams/TEAM/SERVICE"), setup.ErrUsage)
 	}
-	token, author := "", ""
+	token, author, team := "", "", ""
 	if f.author != nil {
-		token, author = *f.token, *f.author
+		token, author, team = *f.token, *f.author, *f.team
 		if author == "" {
 			return errors.Mark(errors.New("author: none is given; want the name of who makes the change"), setup.ErrUsage)
 		}
 	}
 	client := store.NewClient(*f.address, token)
 	defer client.Close()
-	return work(manage.New(client, author, os.Stdout, time.Now))
+	return work(manage.New(client, author, os.Stdout, time.Now).ForTeam(place.Team(team)))
 }
 
 // done turns what became of a change into the result of the command.
--- a/manage/delete.go
+++ b/manage/delete.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/store"
 )
 
@@ -15,7 +14,7 @@
 // N`. A deletion bears no change id; after a lost reply the report tells only
 // what can be seen.
 func (o *Operator) PolicyDelete(ctx context.Context, path string, ifVersion uint64) (Report, error) {
-	if _, err := config.KindOf(path); err != nil {
+	if err := o.checkPath(path); err != nil {
 		return Report{}, err
 	}
 	before, err := o.read(ctx, path)
--- a/manage/manage_test.go
+++ b/manage/manage_test.go
@@ -143,6 +143,17 @@
 	f.set(searchDesk, `{}`, 0, manage.OutcomeAccepted, "accepted")
 	f.set("teams/bonoseguro/saldos", `{}`, 0, manage.OutcomeRefused, "the token may not write here")
 	f.set("fleet", `{}`, 0, manage.OutcomeRefused, "the token may not write here")
+	puts := f.server.Counts()[plat.KindPut]
+	own := f.ForTeam("library")
+	for path, allowed := range map[string]bool{"teams/library": true, "teams/library/x": true, "teams/library-two": false, "teams/bonoseguro/saldos": false, "fleet": false} {
+		_, err := own.PolicySet(context.Background(), path, []byte(`{}`), 0)
+		if allowed != (err == nil) {
+			t.Errorf("with the team given, a write of %s gave %v, want allowed %v", path, err, allowed)
+		}
+	}
+	if more := f.server.Counts()[plat.KindPut] - puts; more != 2 {
+		t.Errorf("%d writes reached the store, want 2", more)
+	}
 }
 
 func TestPolicyEditAndTree(t *testing.T) {
--- a/manage/write.go
+++ b/manage/write.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
 )
 
@@ -90,6 +91,7 @@
 type Operator struct {
 	store    store.Store
 	author   string
+	team     place.Team
 	now      func() time.Time
 	changeID func() string
 	settle   time.Duration
@@ -115,6 +117,27 @@
 	return &other
 }
 
+// ForTeam returns a copy that changes nothing but the settings of one team. The
+// store checks the team's token all the same; this refusal comes earlier and
+// says more.
+func (o *Operator) ForTeam(team place.Team) *Operator {
+	other := *o
+	other.team = team
+	return &other
+}
+
+// checkPath tells whether the path exists in the tree and may be changed.
+func (o *Operator) checkPath(path string) error {
+	if _, err := config.KindOf(path); err != nil {
+		return err
+	}
+	own := config.TeamPath(o.team)
+	if o.team == "" || path == own || strings.HasPrefix(path, own+"/") {
+		return nil
+	}
+	return errors.Newf("path %q: team %s changes only %s and what lies under it; nothing was written", path, o.team, own)
+}
+
 // current is an object as it was read: version 0 and an empty body if there is
 // none.
 type current struct {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,9 @@
 	RelaysPerZone = 2
 	// RoundInterval is the time between two comparisons of digests.
 	RoundInterval = time.Second
+	// RoundPause is the least time between two comparisons of digests, however
+	// often a peer is found to be ahead.
+	RoundPause = 100 * time.Millisecond
 	// WatchWait is how long one watch waits for a change.
 	WatchWait = 20 * time.Second
 	// WatchPause is the time between two watches. Changes that come in it are
@@ -194,7 +197,7 @@
 func (r *Relay) runRounds(ctx context.Context) {
 	for {
 		r.Round(ctx)
-		if !pause(ctx, r.jitter(RoundInterval), r.wake) {
+		if !pause(ctx, RoundPause, nil) || !pause(ctx, r.jitter(RoundInterval-RoundPause), r.wake) {
 			return
 		}
 	}
