--- a/entry/limits.go
+++ b/entry/limits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -74,7 +73,9 @@
 	admission steer.Admission
 	meters    atomic.Pointer[map[place.Service]*meter]
 	known     atomic.Bool
-	full      sync.Map // place.Region -> time.Duration of the last refusal
+	woken     chan struct{}
+	heard     map[place.Instance]firstHeard // used by the round alone
+	full      sync.Map                      // place.Region -> time.Duration of the last refusal
 }
 
 // meter counts the arrivals of one service at this entry.
@@ -87,7 +88,7 @@
 }
 
 func newLimits(e *Entry) *limits {
-	l := &limits{entry: e, began: e.now()}
+	l := &limits{entry: e, began: e.now(), woken: make(chan struct{}, 1), heard: map[place.Instance]firstHeard{}}
 	l.leases = keeper.NewLeases(e.self.Instance, e.self.Incarnation, l.clock())
 	l.targets.Store(&map[place.Target]*kept{})
 	l.meters.Store(&map[place.Service]*meter{})
@@ -119,7 +120,9 @@
 
 // run keeps the leases, the reports and the shares up to date until ctx ends.
 func (l *limits) run(ctx context.Context) {
-	for round := 0; ; round++ {
+	ticker := time.NewTicker(limitsInterval)
+	defer ticker.Stop()
+	for round := 0; ; {
 		l.update()
 		if round%int(keeper.BeatInterval/limitsInterval) == 0 {
 			l.beat(ctx)
@@ -127,12 +130,25 @@
 		l.poll(ctx, round)
 		l.askViews(ctx)
 		l.settle()
-		if !pause(ctx, limitsInterval) {
+		select {
+		case <-ticker.C:
+			round++
+		case <-l.woken:
+			round = 0
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// wake begins the next round at once, as after a lease was given back.
+func (l *limits) wake() {
+	select {
+	case l.woken <- struct{}{}:
+	default:
+	}
+}
+
 // update takes in the newest list of instances and settings.
 func (l *limits) update() {
 	e := l.entry
@@ -151,13 +167,27 @@
 }
 
 // members returns the listed entries of the zone, without those whose process
-// has ended.
+// has ended, and without new ones that can't give leases yet.
 func (l *limits) members(v *view) []place.Instance {
 	e := l.entry
+	now := l.clock()
 	var members []place.Instance
 	for _, listed := range v.zoneEntries[e.self.Zone] {
-		if listed.Instance != e.self.Instance && e.heart.Health(listed.Instance).Refused() {
-			l.leases.Gone(listed.Instance, l.clock())
+		if listed.Instance == e.self.Instance {
+			members = append(members, listed.Instance)
+			continue
+		}
+		health := e.heart.Health(listed.Instance)
+		if health.Refused() {
+			l.leases.Gone(listed.Instance, now)
+			continue
+		}
+		known := l.heard[listed.Instance]
+		if known.incarnation != health.Incarnation() {
+			known = firstHeard{incarnation: health.Incarnation(), at: now}
+			l.heard[listed.Instance] = known
+		}
+		if known.at > settleTime && now-known.at < keeper.LeaseTime+keeper.ViewSpread {
 			continue
 		}
 		members = append(members, listed.Instance)
@@ -166,6 +196,12 @@
 	return members
 }
 
+// firstHeard is when a process of an instance was first heard.
+type firstHeard struct {
+	incarnation uint64
+	at          time.Duration
+}
+
 func (l *limits) updateTargets(v *view, now time.Duration) {
 	e := l.entry
 	before := *l.targets.Load()
@@ -317,15 +353,13 @@
 func (l *limits) askViews(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
 	defer cancel()
-	members := slices.DeleteFunc(l.members(l.entry.view.Load()), func(m place.Instance) bool { return m == l.entry.self.Instance })
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	var calls conc.WaitGroup
-	for _, member := range members[:min(len(members), viewsAsked)] {
+	for _, member := range l.entry.pick(l.entry.view.Load().zoneEntries[l.entry.self.Zone], viewsAsked) {
 		calls.Go(func() {
-			answer, err := l.entry.pool.Call(ctx, member, &wire.KeepersAsk{})
+			answer, err := l.entry.pool.Call(ctx, member.Instance, &wire.KeepersAsk{})
 			if views, ok := answer.(*wire.Keepers); err == nil && ok {
 				for i := range views.Views {
-					l.learn(member, &views.Views[i])
+					l.learn(member.Instance, &views.Views[i])
 				}
 			}
 		})
