--- /dev/null
+++ b/once/bench_test.go
@@ -0,0 +1,158 @@
+package once_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// The world of the benchmarks: two availability zones, and a store that
+// answers in milliseconds and takes several hundred writes a second.
+const (
+	zoneRoundTrip  = 3 * time.Millisecond
+	storeRoundTrip = 3 * time.Millisecond
+	storeWrites    = 300
+)
+
+// storeFate makes the witness as slow as the store. The record before the run
+// and the outcome after it are a write each.
+func storeFate() func(from, to place.Instance, message wire.Message) fate {
+	var mu sync.Mutex
+	next := time.Now()
+	return func(_, _ place.Instance, message wire.Message) fate {
+		if !isKind[*wire.KeyRecord](message) && !isKind[*wire.KeyReport](message) {
+			return whole
+		}
+		mu.Lock()
+		next = next.Add(time.Second / storeWrites)
+		if now := time.Now(); next.Before(now) {
+			next = now
+		}
+		turn := next
+		mu.Unlock()
+		time.Sleep(time.Until(turn) + storeRoundTrip)
+		return whole
+	}
+}
+
+func zoneFate(place.Instance, place.Instance, wire.Message) fate {
+	time.Sleep(zoneRoundTrip)
+	return whole
+}
+
+func nearFate(place.Instance, place.Instance, wire.Message) fate { return whole }
+
+// BenchmarkRequest measures what the record of a key costs a request, at one
+// caller and at 32 callers who each send the next request after the answer.
+//
+//	go test ./once -run '^$' -bench Request -benchtime 1x -count 3
+func BenchmarkRequest(b *testing.B) {
+	kinds := map[string]func() func(from, to place.Instance, message wire.Message) fate{
+		"nothing to wait for": func() func(from, to place.Instance, message wire.Message) fate { return nearFate },
+		"witness":             func() func(from, to place.Instance, message wire.Message) fate { return zoneFate },
+		"store":               storeFate,
+	}
+	for name, newFate := range kinds {
+		for _, callers := range []int{1, 32} {
+			b.Run(fmt.Sprintf("%s/callers=%d", name, callers), func(b *testing.B) {
+				for range b.N {
+					measure(b, newFate(), callers)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, fate func(from, to place.Instance, message wire.Message) fate, callers int) {
+	const requests = 640 // fewer than the store writes while the prefix lives
+	f := newFleet(b)
+	prefix := f.prefix(b)
+	f.setFate(fate)
+	var number, refused atomic.Int64
+	latencies := make([]time.Duration, requests)
+	tasks := pool.New().WithMaxGoroutines(callers)
+	begun := time.Now()
+	for i := range latencies {
+		tasks.Go(func() {
+			key := fmt.Sprintf("%s.%d", prefix, number.Add(1))
+			sent := time.Now()
+			if got := f.send("a", key); !isAnswer(got, key) {
+				refused.Add(1)
+			}
+			latencies[i] = time.Since(sent)
+		})
+	}
+	tasks.Wait()
+	took := time.Since(begun)
+	slices.Sort(latencies)
+	b.ReportMetric(latencies[len(latencies)/2].Seconds()*1e3, "p50-ms")
+	b.ReportMetric(latencies[len(latencies)*99/100].Seconds()*1e3, "p99-ms")
+	b.ReportMetric(float64(len(latencies))/took.Seconds(), "requests/s")
+	b.ReportMetric(float64(refused.Load()), "refused")
+}
+
+// BenchmarkKill counts what callers hear after a home was killed: a third of
+// their requests had not reached it, a third were running, and a third had run
+// while their answers were lost.
+//
+//	go test ./once -run '^$' -bench Kill -benchtime 1x
+func BenchmarkKill(b *testing.B) {
+	for name, witness := range map[string]bool{"witness": true, "no witness": false} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				kill(b, witness)
+			}
+		})
+	}
+}
+
+func kill(b *testing.B, witness bool) {
+	const third = 100
+	f := newFleet(b)
+	prefix := f.prefix(b)
+	release, running := make(chan struct{}), make(chan struct{}, third)
+	f.run = func(key string) (*wire.Answer, error) {
+		var number int
+		if _, err := fmt.Sscanf(key[strings.LastIndex(key, ".")+1:], "%d", &number); err == nil && number > third {
+			running <- struct{}{}
+			<-release
+		}
+		return answer(key)
+	}
+	tasks := pool.New()
+	for number := range third {
+		f.send("a", fmt.Sprintf("%s.%d", prefix, number+1))
+		tasks.Go(func() { f.send("a", fmt.Sprintf("%s.%d", prefix, third+number+1)) })
+	}
+	for range third {
+		<-running
+	}
+	for f.member("b").keys.Dump().WitnessBytes > third*(32<<10)+third*1000 {
+		time.Sleep(time.Millisecond)
+	}
+	f.member("a").dead.Store(true)
+	f.member("b").dead.Store(!witness)
+	heard := map[string]int{}
+	for number := range 3 * third {
+		key := fmt.Sprintf("%s.%d", prefix, number+1)
+		got := f.send("c", key)
+		if isAnswer(got, key) {
+			got = "answered"
+		}
+		heard[strings.Fields(got)[0]]++
+	}
+	for _, verdict := range []string{"answered", "not-run", "may-have-run"} {
+		b.ReportMetric(float64(heard[verdict]), verdict)
+	}
+	close(release)
+	tasks.Wait()
+}
--- a/ticket/ledger_test.go
+++ b/ticket/ledger_test.go
@@ -1,6 +1,8 @@
 package ticket_test
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -205,3 +207,44 @@
 		p.records.Report(key, outcome)
 	}
 }
+
+// BenchmarkMemory measures the heap that a key takes at its home and at its
+// witness, with an answer of 300 bytes.
+//
+//	go test ./ticket -run '^$' -bench Memory -benchtime 1x
+func BenchmarkMemory(b *testing.B) {
+	for _, keys := range []uint64{10_000, 30_000, 100_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			for range b.N {
+				home, witness := heapOf(keys)
+				b.ReportMetric(home, "home-bytes/key")
+				b.ReportMetric(witness, "witness-bytes/key")
+			}
+		})
+	}
+}
+
+func heapOf(keys uint64) (home, witness float64) {
+	p := newPair(ticket.DefaultLimits())
+	before := heap()
+	for i := range keys {
+		p.ledger.Arrive(start, p.prefix.Key(i+1), 1, bound)
+		p.ledger.Acknowledge(start, p.prefix.Key(i+1))
+		p.ledger.Finish(p.prefix.Key(i+1), ticket.Answered(make([]byte, 300)))
+	}
+	middle := heap()
+	for i := range keys {
+		p.records.Record(start, p.prefix.Key(i+1), 1, bound)
+		p.records.Report(p.prefix.Key(i+1), ticket.Answered(make([]byte, 300)))
+	}
+	after := heap()
+	runtime.KeepAlive(p)
+	return (middle - before) / float64(keys), (after - middle) / float64(keys)
+}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
