--- a/node/node_test.go
+++ b/node/node_test.go
@@ -33,6 +33,7 @@
 	callers   [2]string
 	peers     [2]string
 	operators [2]string
+	stop      [2]context.CancelFunc
 	targets   *stub.Stub
 }
 
@@ -63,7 +64,9 @@
 	write(t, client, ledger, `{"non_idempotent":[{"method":"POST","path":"/loans"}]}`)
 	ctx, cancel := context.WithCancel(context.Background())
 	for i, listed := range roster.Entries {
-		f.run(ctx, t, i, listed, platform.Addr())
+		running, stop := context.WithCancel(ctx)
+		f.stop[i] = stop
+		f.run(running, t, i, listed, platform.Addr())
 	}
 	t.Cleanup(cancel)
 	for i := range 2 {
