--- a/node/once_test.go
+++ b/node/once_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"net"
 	"strings"
 	"testing"
 
@@ -30,6 +31,13 @@
 		}
 		return len(found.Entries) == 0
 	})
+	await(t, func() bool {
+		conn, err := net.Dial("tcp", f.peers[0])
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
 	if again := send(1, first); again != answer {
 		t.Errorf("the repeat got %s, want %s", again, answer)
 	}
