--- a/entry/once.go
+++ b/entry/once.go
@@ -82,6 +82,7 @@
 	e.limits.arrive(r.service, policy)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	e.limits.arrive(r.service, policy)
 	return e.route(ctx, e.view.Load(), policy, r)
 }
 
