--- a/once/once.go
+++ b/once/once.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,9 @@
 // NewRequest reads the key of a request. The error is a refusal that says what
 // is wrong with the key.
 func NewRequest(forward *wire.Forward) (*Request, error) {
+	if strings.HasPrefix(forward.Key, ".") {
+		return nil, errs.NotRun(errs.ReasonNoWitness, askAgain, "the key %q has no prefix: a look-up gives none while no witness can be reached; look up again", forward.Key)
+	}
 	key, err := ticket.ParseKey(forward.Key)
 	if err != nil {
 		return nil, errs.NotRun(errs.ReasonKeyInvalid, 0, "%v", err)
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+func TestBadKeys(t *testing.T) {
+	f := newFleet(t)
+	tests := map[string]struct{ key, want string }{
+		"no prefix": {".1", "not-run (no-witness)"},
+		"nonsense":  {"nonsense", "not-run (key-invalid)"},
+		"no number": {f.prefix(t), "not-run (key-invalid)"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := f.send("a", test.key); !strings.HasPrefix(got, test.want) {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // hang makes the target wait. running gets a value for each request that began.
 func (f *fleet) hang(t *testing.T) (running chan string, release chan struct{}) {
 	t.Helper()
