--- a/entry/route.go
+++ b/entry/route.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +44,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	e.limits.arrive(r.service, policy)
 	if policy.NonIdempotent(r.method, r.plainPath()) {
 		return nil, e.keyMissing(r)
 	}
@@ -69,75 +68,6 @@
 	return policy, nil
 }
 
-// route tries the availability zones in order until one ran the request or may
-// have run it.
-func (e *Entry) route(ctx context.Context, v *view, policy *config.Policy, r *Request) (*wire.Answer, error) {
-	var last error = errs.NotRun(errs.ReasonNoTarget, ComeBack, "no availability zone has a target of service %s", r.service)
-	for _, zone := range e.zones(v, policy, r) {
-		answer, err := e.tryZone(ctx, v, policy, r, zone)
-		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun {
-			return answer, err
-		}
-		last = err
-		if ctx.Err() != nil {
-			return nil, errs.NotRun(errs.ReasonDeadline, 0, "the deadline passed before a target ran the request")
-		}
-	}
-	return nil, last
-}
-
-// zones returns the availability zones with usable targets: the own one, then
-// the others of the region, then other regions. A request that has come from
-// another entry stays in this zone.
-func (e *Entry) zones(v *view, policy *config.Policy, r *Request) []place.Zone {
-	var zones []place.Zone
-	for zone := range v.targets[r.service] {
-		if r.hops > 0 && zone != e.self.Zone {
-			continue
-		}
-		if len(v.usable(r.service, policy, zone)) > 0 {
-			zones = append(zones, zone)
-		}
-	}
-	slices.SortFunc(zones, func(a, b place.Zone) int {
-		return cmp.Or(cmp.Compare(e.distance(a), e.distance(b)), cmp.Compare(a, b))
-	})
-	return zones
-}
-
-// distances is the number of distances that are told apart.
-const distances = 3
-
-// distance tells how far an availability zone is from here.
-func (e *Entry) distance(zone place.Zone) int { return distanceOf(e.self.Zone, zone) }
-
-// distanceOf tells how far apart two availability zones are: 0 for the same
-// one, 1 within a region, 2 between regions.
-func distanceOf(from, to place.Zone) int {
-	switch {
-	case to == from:
-		return 0
-	case to.Region() == from.Region():
-		return 1
-	}
-	return 2
-}
-
-func (e *Entry) tryZone(ctx context.Context, v *view, policy *config.Policy, r *Request, zone place.Zone) (*wire.Answer, error) {
-	if zone == e.self.Zone {
-		return e.tryTarget(ctx, v, policy, r)
-	}
-	var last error = errs.NotRun(errs.ReasonPeerFailed, ComeBack, "no instance of availability zone %s can be reached", zone)
-	for _, entry := range e.forwardable(v.zoneEntries[zone]) {
-		answer, err := e.forward(ctx, entry.Instance, r.toWire(wire.ScopeZone, e.now()))
-		if err == nil || errs.VerdictOf(err) != errs.VerdictNotRun || errs.AsRefusal(err).Reason() != errs.ReasonPeerFailed {
-			return answer, err
-		}
-		last = err
-	}
-	return nil, last
-}
-
 // forwardable returns the entries that a request may be handed to, at most
 // forwardTries. One that leaves still serves: it comes last.
 func (e *Entry) forwardable(entries []store.Entry) []store.Entry {
@@ -209,8 +139,10 @@
 	}
 	switch a := answer.(type) {
 	case *wire.Answer:
+		e.limits.learnNear(instance, a.Keeper)
 		return a, nil
 	case *wire.Refused:
+		e.limits.learnNear(instance, a.Keeper)
 		return nil, refusalFromWire(a)
 	}
 	return nil, errs.MayHaveRun(errs.ReasonPeerFailed, "instance %s gave an answer of the wrong kind", instance)
@@ -226,21 +158,26 @@
 	return errs.MayHaveRun(errs.ReasonPeerFailed, "%v", err)
 }
 
-func (e *Entry) handleForward(ctx context.Context, f *wire.Forward) wire.Message {
+func (e *Entry) handleForward(ctx context.Context, peer wire.Hello, f *wire.Forward) wire.Message {
 	r := requestFromWire(f, e.now())
+	r.admitted = peer.Zone.Region() == e.self.Zone.Region() && f.Scope != wire.ScopeHome
 	if r.hops > HopsMax {
 		return refusalToWire(errs.NotRun(errs.ReasonPeerFailed, ComeBack, "the request was handed on %d times already", r.hops))
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	answer, err := e.serveForward(ctx, r)
+	answer, err := e.serveForward(ctx, f, r)
 	if err != nil {
-		return refusalToWire(err)
+		refused := refusalToWire(err)
+		refused.Keeper = e.limits.tell(f.Target)
+		return refused
 	}
-	return answer
+	told := *answer // another call may share the answer
+	told.Keeper = e.limits.tell(answer.Target)
+	return &told
 }
 
-func (e *Entry) serveForward(ctx context.Context, r *Request) (*wire.Answer, error) {
+func (e *Entry) serveForward(ctx context.Context, f *wire.Forward, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
 	if err != nil {
@@ -248,5 +185,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if f.Scope == wire.ScopeTarget {
+		return e.sendKept(ctx, v, policy, r, f.Target)
+	}
 	return e.route(ctx, v, policy, r)
 }
--- a/entry/slope_test.go
+++ b/entry/slope_test.go
@@ -59,6 +59,7 @@
 			e.relay.Follow(context.Background())
 			e.roster.Round(context.Background())
 			heart.Round(context.Background())
+			e.limits.settle()
 			b.ReportAllocs()
 			for b.Loop() {
 				if found, err := e.Lookup("library/search-desk"); err != nil || len(found.Entries()) != LookupEntriesMax {
--- a/entry/view.go
+++ b/entry/view.go
@@ -9,6 +9,21 @@
 	"github.com/endivechute/endivechute/target"
 )
 
+// distances is the number of distances that are told apart.
+const distances = 3
+
+// distanceOf tells how far apart two availability zones are: 0 for the same
+// one, 1 within a region, 2 between regions.
+func distanceOf(from, to place.Zone) int {
+	switch {
+	case to == from:
+		return 0
+	case to.Region() == from.Region():
+		return 1
+	}
+	return 2
+}
+
 // view is what a request needs to know of the instances of the fleet. A view
 // is never changed after it was published: whoever learns something builds the
 // next one and swaps the pointer, so that the path of a request takes no lock.
