--- a/entry/steer.go
+++ b/entry/steer.go
@@ -116,8 +116,20 @@
 	return zones
 }
 
-// distance tells how far an availability zone is from here.
-func (e *Entry) distance(zone place.Zone) int { return distanceOf(e.self.Zone, zone) }
+// distances is the number of distances that are told apart.
+const distances = 3
+
+// distance tells how far apart two availability zones are: 0 for the same one,
+// 1 within a region, 2 between regions.
+func distance(from, to place.Zone) int {
+	switch {
+	case to == from:
+		return 0
+	case to.Region() == from.Region():
+		return 1
+	}
+	return 2
+}
 
 // tryZone hands the request to the zone. The entry at which it reaches the
 // region counts it against the region's limit.
--- a/entry/view.go
+++ b/entry/view.go
@@ -9,21 +9,6 @@
 	"github.com/endivechute/endivechute/target"
 )
 
-// distances is the number of distances that are told apart.
-const distances = 3
-
-// distanceOf tells how far apart two availability zones are: 0 for the same
-// one, 1 within a region, 2 between regions.
-func distanceOf(from, to place.Zone) int {
-	switch {
-	case to == from:
-		return 0
-	case to.Region() == from.Region():
-		return 1
-	}
-	return 2
-}
-
 // view is what a request needs to know of the instances of the fleet. A view
 // is never changed after it was published: whoever learns something builds the
 // next one and swaps the pointer, so that the path of a request takes no lock.
@@ -46,7 +31,7 @@
 	for _, entry := range roster.Entries {
 		next.entries[entry.Instance] = entry
 		if next.zoneEntries[entry.Zone] == nil {
-			at := distanceOf(zone, entry.Zone)
+			at := distance(zone, entry.Zone)
 			next.nearZones[at] = append(next.nearZones[at], entry.Zone)
 		}
 		next.zoneEntries[entry.Zone] = append(next.zoneEntries[entry.Zone], entry)
--- a/wire/message.go
+++ b/wire/message.go
@@ -126,9 +126,9 @@
 	newCore,
 	newSettings,
 	newRoster,
-	newMember,
 	newOnce,
 	newLimits,
+	newMember,
 }
 
 func newCore(k Kind) Message {
