Measure heartbeats, leases of keepers and the look-up over HTTP

Cause: docs/CAPACITY.md had no slope for these. Ruled out: counting them by hand. Before: not measured.

--- /dev/null
+++ b/entry/lease_slope_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/endivechute/endivechute/keeper"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// messageBytesExtra is the head of a frame and what TCP, IP and Ethernet add.
+const messageBytesExtra = 14 + 66
+
+// keptZone is an availability zone whose entries keep one target each on
+// average.
+type keptZone struct {
+	members []place.Instance
+	targets []place.Target
+	leases  map[place.Instance]*keeper.Leases
+	bytes   map[place.Instance]int
+}
+
+func newKeptZone(members int) *keptZone {
+	z := &keptZone{leases: map[place.Instance]*keeper.Leases{}, bytes: map[place.Instance]int{}}
+	resources := make([]keeper.Resource, 0, members)
+	for i := range members {
+		z.members = append(z.members, place.Instance(fmt.Sprintf("entry-%03d", i)))
+		z.targets = append(z.targets, place.Target(fmt.Sprintf("ledger-%03d", i)))
+		resources = append(resources, keeper.TargetResource(z.targets[i]))
+	}
+	for _, m := range z.members {
+		z.leases[m] = keeper.NewLeases(m, 1<<60, 0)
+		z.leases[m].Update(z.members, resources, 0)
+	}
+	return z
+}
+
+// call counts a message and its answer at both ends.
+func (z *keptZone) call(from, to place.Instance, messages ...wire.Message) {
+	for _, m := range messages {
+		packed, err := msgpack.Marshal(m)
+		if err != nil {
+			panic(err)
+		}
+		z.bytes[from] += len(packed) + messageBytesExtra
+		z.bytes[to] += len(packed) + messageBytesExtra
+	}
+}
+
+// beat lets every entry renew its leases once.
+func (z *keptZone) beat(now time.Duration) {
+	for _, m := range z.members {
+		for _, envelope := range z.leases[m].Tick(now) {
+			ack, _ := z.leases[envelope.To].HandleBeat(m, envelope.Beat, now)
+			z.leases[m].HandleAck(envelope.To, ack, now)
+			answer := &wire.LeaseAck{Incarnation: ack.Incarnation, SentNanos: int64(ack.Sent)}
+			for _, r := range ack.Granted {
+				answer.Granted = append(answer.Granted, string(r))
+			}
+			z.call(m, envelope.To, beatToWire(envelope.Beat), answer)
+		}
+	}
+}
+
+// ask lets every entry ask a few others once what they keep, and returns how
+// many targets have a keeper.
+func (z *keptZone) ask(now time.Duration) int {
+	held := 0
+	for _, m := range z.members {
+		answer := &wire.Keepers{}
+		for _, t := range z.targets {
+			if z.leases[m].Hold(keeper.TargetResource(t)).Held(now) {
+				answer.Views = append(answer.Views, wire.KeeperView{Target: t, Free: 3, WaitMicros: 2500})
+			}
+		}
+		held += len(answer.Views)
+		for range min(viewsAsked, len(z.members)-1) {
+			z.call(z.members[rand.IntN(len(z.members))], m, &wire.KeepersAsk{}, answer)
+		}
+	}
+	return held
+}
+
+// BenchmarkKeepers measures what the leases of targets, and the questions who
+// keeps which, cost an entry, with as many targets as entries in the zone.
+func BenchmarkKeepers(b *testing.B) {
+	const seconds = 20
+	for _, members := range []int{3, 30, 110} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			var leases, views, held int
+			for b.Loop() {
+				z := newKeptZone(members)
+				now := time.Duration(0)
+				for ; now < 20*time.Second; now += keeper.BeatInterval {
+					z.beat(now)
+				}
+				clear(z.bytes)
+				for range seconds * int(time.Second/keeper.BeatInterval) {
+					now += keeper.BeatInterval
+					z.beat(now)
+				}
+				leases = sumBytes(z.bytes)
+				clear(z.bytes)
+				for range seconds * int(time.Second/limitsInterval) {
+					held = z.ask(now)
+				}
+				views = sumBytes(z.bytes)
+			}
+			if held != members {
+				b.Fatalf("%d of %d targets have a keeper", held, members)
+			}
+			nodeSeconds := float64(seconds * members)
+			b.ReportMetric(float64(leases)/nodeSeconds, "B/s/node-leases")
+			b.ReportMetric(float64(views)/nodeSeconds, "B/s/node-views")
+			asked := float64(min(viewsAsked, members-1)) / limitsInterval.Seconds()
+			b.ReportMetric(float64(members-1)/asked, "s-between-views")
+		})
+	}
+}
+
+func sumBytes(bytes map[place.Instance]int) int {
+	sum := 0
+	for _, n := range bytes {
+		sum += n
+	}
+	return sum
+}
--- a/entry/slope_test.go
+++ b/entry/slope_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/peers"
@@ -34,38 +36,69 @@
 	return &wire.BeatAck{Incarnation: 1}, nil
 }
 
-// BenchmarkLookup measures the choice of entries for a caller, without HTTP, by
-// the number of entries in the platform's list; ten entries make a zone.
-func BenchmarkLookup(b *testing.B) {
+// informedEntry returns an entry of a fleet of so many, ten to a zone, which
+// knows its settings and hears all others.
+func informedEntry(b *testing.B, entries int) *Entry {
+	b.Helper()
 	value, err := config.NewEnvelope(nil, "ana", "c", time.Unix(0, 0), []byte(`{"slots":3}`)).Encode()
 	if err != nil {
 		b.Fatal(err)
 	}
+	var list store.Roster
+	for i := range entries {
+		list.Entries = append(list.Entries, store.Entry{
+			Instance: place.Instance(fmt.Sprintf("entry-%d", i)), Zone: place.Zone(fmt.Sprintf("region-%d/z%d", i/10%16, i/10)),
+			CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", State: store.StateLive,
+		})
+	}
+	self := wire.Hello{Instance: "entry-0", Zone: "region-0/z0"}
+	pool := peers.New(self, peers.DialTCP)
+	b.Cleanup(pool.Close)
+	heart := peers.NewHeart(self, livingPeers{}, time.Now)
+	platform := fixedPlatform{objects: []store.Object{store.NewObject("teams/library/search-desk", 1, value, false)}, list: list}
+	e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
+	e.relay.Follow(context.Background())
+	e.roster.Round(context.Background())
+	heart.Round(context.Background())
+	e.limits.settle()
+	return e
+}
+
+func eachFleet(b *testing.B, run func(b *testing.B, e *Entry)) {
 	for _, entries := range []int{20, 440, 4400} {
 		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
-			var list store.Roster
-			for i := range entries {
-				list.Entries = append(list.Entries, store.Entry{
-					Instance: place.Instance(fmt.Sprintf("entry-%d", i)), Zone: place.Zone(fmt.Sprintf("region-%d/z%d", i/10%16, i/10)),
-					CallerAddress: "127.0.0.1:8000", PeerAddress: "127.0.0.1:8001", State: store.StateLive,
-				})
-			}
-			self := wire.Hello{Instance: "entry-0", Zone: "region-0/z0"}
-			pool := peers.New(self, peers.DialTCP)
-			defer pool.Close()
-			heart := peers.NewHeart(self, livingPeers{}, time.Now)
-			platform := fixedPlatform{objects: []store.Object{store.NewObject("teams/library/search-desk", 1, value, false)}, list: list}
-			e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
-			e.relay.Follow(context.Background())
-			e.roster.Round(context.Background())
-			heart.Round(context.Background())
-			e.limits.settle()
+			e := informedEntry(b, entries)
 			b.ReportAllocs()
-			for b.Loop() {
-				if found, err := e.Lookup("library/search-desk"); err != nil || len(found.Entries()) != LookupEntriesMax {
-					b.Fatal(found, err)
-				}
-			}
+			b.ResetTimer()
+			run(b, e)
 		})
 	}
 }
+
+// BenchmarkLookup measures the choice of entries for a caller, without HTTP, by
+// the number of entries in the platform's list.
+func BenchmarkLookup(b *testing.B) {
+	eachFleet(b, func(b *testing.B, e *Entry) {
+		for b.Loop() {
+			if found, err := e.Lookup("library/search-desk"); err != nil || len(found.Entries()) != LookupEntriesMax {
+				b.Fatal(found, err)
+			}
+		}
+	})
+}
+
+// BenchmarkLookupHTTP measures a whole look-up in the handler of the callers'
+// port, without the connection.
+func BenchmarkLookupHTTP(b *testing.B) {
+	eachFleet(b, func(b *testing.B, e *Entry) {
+		handler := e.NewApp().Handler()
+		for b.Loop() {
+			var ctx fasthttp.RequestCtx
+			ctx.Request.SetRequestURI("/v1/lookup?service=library/search-desk")
+			handler(&ctx)
+			if ctx.Response.StatusCode() != fasthttp.StatusOK {
+				b.Fatal(ctx.Response.String())
+			}
+		}
+	})
+}
