--- a/entry/steer.go
+++ b/entry/steer.go
@@ -167,38 +167,37 @@
 	if len(candidates) == 0 {
 		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "no target of service %s is usable in availability zone %s", r.service, e.self.Zone)
 	}
-	route := budget.Route[steer.Candidate, *wire.Answer]{
-		Pick: func(tried []steer.Candidate) (steer.Candidate, bool) { return pickUntried(candidates, tried) },
-		Send: func(ctx context.Context, c steer.Candidate) (*wire.Answer, error) {
-			return e.tryKeeper(ctx, v, policy, r, c)
+	route := budget.Route[place.Target, *wire.Answer]{
+		Pick: func(tried []place.Target) (place.Target, bool) {
+			left := slices.DeleteFunc(slices.Clone(candidates), func(c steer.Candidate) bool { return slices.Contains(tried, c.Target()) })
+			chosen := steer.Choose(left, keeper.ServiceTimeFirst, rand.IntN)
+			if len(chosen) == 0 {
+				return "", false
+			}
+			return chosen[0].Target(), true
+		},
+		Send: func(ctx context.Context, name place.Target) (*wire.Answer, error) {
+			return e.tryKeeper(ctx, v, policy, r, name)
 		},
 	}
-	idempotent := !policy.NonIdempotent(r.method, r.plainPath())
+	idempotent := r.key == "" && !policy.NonIdempotent(r.method, r.plainPath())
 	return budget.Run(ctx, e.budgets.of(r.service, policy, e.now()), &e.budgets.hedges, idempotent, route)
 }
 
-func pickUntried(candidates, tried []steer.Candidate) (steer.Candidate, bool) {
-	left := candidates
-	if len(tried) > 0 {
-		left = slices.DeleteFunc(slices.Clone(candidates), func(c steer.Candidate) bool { return slices.Contains(tried, c) })
-	}
-	chosen := steer.Choose(left, keeper.ServiceTimeFirst, rand.IntN)
-	if len(chosen) == 0 {
-		return steer.Candidate{}, false
-	}
-	return chosen[0], true
-}
-
-func (e *Entry) tryKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, c steer.Candidate) (*wire.Answer, error) {
-	if c.Keeper() == e.self.Instance {
-		return e.sendKept(ctx, v, policy, r, c.Target())
+// tryKeeper sends the request to the target through its keeper.
+func (e *Entry) tryKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, name place.Target) (*wire.Answer, error) {
+	k := (*e.limits.targets.Load())[name]
+	if k == nil {
+		return nil, errs.NotRun(errs.ReasonNoTarget, ComeBack, "instance %s doesn't know target %s", e.self.Instance, name)
 	}
-	if k := (*e.limits.targets.Load())[c.Target()]; k != nil {
-		k.sent.Add(1)
+	holder := *k.keeper.Load()
+	if k.hold.Held(e.limits.clock()) || holder == e.self.Instance {
+		return e.sendKept(ctx, v, policy, r, name)
 	}
+	k.sent.Add(1)
 	message := r.toWire(wire.ScopeTarget, e.now())
-	message.Target = c.Target()
-	return e.forward(ctx, c.Keeper(), message)
+	message.Target = name
+	return e.forward(ctx, holder, message)
 }
 
 // candidates returns the targets of the zone with what is known of each.
