Leave the choice of a target to the keepers' views alone

Cause: since the keepers are in the path the client's own choice and its observations stood beside steer's, unused. Ruled out: keeping them for entries that don't keep a target: they see none of its answers.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -51,8 +51,10 @@
 	Leaving bool `json:"leaving"`
 	// ReportAgeMillis is the age of its last load report, -1 if there is none.
 	ReportAgeMillis int64 `json:"report_age_ms"`
-	// LatencyMillis is how long its answers take, 0 if it never answered.
-	LatencyMillis float64 `json:"latency_ms"`
+	// Keeper is the entry that is taken for the target's keeper.
+	Keeper place.Instance `json:"keeper"`
+	// AnswerMillis is how long the target takes to answer, by its keeper.
+	AnswerMillis float64 `json:"answer_ms"`
 }
 
 // DumpBudget is what a service has spent on retries and hedged requests.
@@ -85,7 +87,9 @@
 	for service, zones := range v.targets {
 		dump.Services = append(dump.Services, service)
 		for _, t := range zones[e.self.Zone] {
-			dump.Targets = append(dump.Targets, dumpTarget(t, v.clients[t.Target], dump.At))
+			target := dumpTarget(t, v.clients[t.Target], dump.At)
+			target.Keeper, target.AnswerMillis = e.limits.keeperOf(t.Target)
+			dump.Targets = append(dump.Targets, target)
 		}
 	}
 	e.budgets.each(func(service place.Service, s *budget.Service) {
@@ -100,7 +104,7 @@
 func dumpTarget(listed store.Target, client *target.Client, now time.Time) DumpTarget {
 	dump := DumpTarget{
 		Target: listed.Target, Service: listed.Service, State: listed.State, InFlight: client.InFlight(),
-		Leaving: client.Leaving(), ReportAgeMillis: -1, LatencyMillis: inMillis(client.Latency(now)),
+		Leaving: client.Leaving(), ReportAgeMillis: -1,
 	}
 	if report := client.LastReport(); report.Known() {
 		dump.ReportAgeMillis = report.Age(now).Milliseconds()
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -229,6 +229,23 @@
 	return candidates
 }
 
+// keeperOf returns the keeper of a target and how long the target takes to
+// answer, in milliseconds, 0 if nobody told.
+func (l *limits) keeperOf(name place.Target) (place.Instance, float64) {
+	k := (*l.targets.Load())[name]
+	if k == nil {
+		return "", 0
+	}
+	if k.hold.Held(l.clock()) {
+		return l.entry.self.Instance, inMillis(k.gate.View().Service)
+	}
+	told := k.view.Load()
+	if told == nil {
+		return *k.keeper.Load(), 0
+	}
+	return *k.keeper.Load(), inMillis(time.Duration(told.ServiceMicros) * time.Microsecond)
+}
+
 // learnNear takes in what a keeper of this zone added to an answer.
 func (l *limits) learnNear(from place.Instance, told *wire.KeeperView) {
 	if entry, found := l.entry.view.Load().entries[from]; found && entry.Zone == l.entry.self.Zone {
--- a/target/client.go
+++ b/target/client.go
@@ -35,7 +35,6 @@
 	address  string
 	host     *fasthttp.HostClient
 	inFlight atomic.Int64
-	observed observed
 	report   atomic.Pointer[Report]
 }
 
@@ -90,14 +89,7 @@
 	}
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	began := time.Now()
-	answer, err := c.do(ctx, r)
-	if now := time.Now(); err != nil {
-		c.observed.failed(now, err, now.Sub(began))
-	} else {
-		c.observed.answered(now, now.Sub(began))
-	}
-	return answer, err
+	return c.do(ctx, r)
 }
 
 func (c *Client) do(ctx context.Context, r Request) (Answer, error) {
--- a/target/report.go
+++ b/target/report.go
@@ -71,3 +71,26 @@
 		leaving: body.Leaving, healthy: body.Healthy, at: asked,
 	}, nil
 }
+
+// LastReport returns the latest load report that Poll read. It is not Known
+// before the first one.
+func (c *Client) LastReport() Report {
+	if report := c.report.Load(); report != nil {
+		return *report
+	}
+	return Report{}
+}
+
+// Leaving tells whether the target itself has announced that it is leaving.
+// Only a later report to the contrary takes that back: silence does not.
+func (c *Client) Leaving() bool { return c.LastReport().leaving }
+
+// Poll reads a load report and keeps it. On an error the last one stays.
+func (c *Client) Poll(ctx context.Context) error {
+	report, err := c.Report(ctx)
+	if err != nil {
+		return err
+	}
+	c.report.Store(&report)
+	return nil
+}
