Lead callers to the entries nearest to their site

Ruled out: a path of its own for the chunks. The settings' spread takes any object; the chunks come in its tables with a check each, and share their bytes with the table of blocks. Before: every caller got the zone of the entry that it asked. After: entry.TestLookupByBlock: block, nested block, unknown client, zone without entries, bad chunk (the last good one stays), deleted chunk. Conclusion: dump shows how many blocks are in force.

--- /dev/null
+++ b/entry/blocks_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/peers"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// changingPlatform gives what the test has put there.
+type changingPlatform struct {
+	store.Store
+	objects []store.Object
+	list    store.Roster
+}
+
+func (p *changingPlatform) List(context.Context, string) ([]store.Object, uint64, error) {
+	return p.objects, 1, nil
+}
+
+func (p *changingPlatform) Watch(context.Context, string, uint64, time.Duration) ([]store.Object, uint64, error) {
+	return p.objects, 2, nil
+}
+
+func (p *changingPlatform) Roster(context.Context) (store.Roster, error) { return p.list, nil }
+
+func TestLookupByBlock(t *testing.T) {
+	value, err := config.NewEnvelope(nil, "ana", "c", time.Unix(0, 0), []byte(`{"slots":3}`)).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	chunk := func(version uint64, text string) store.Object {
+		return store.NewObject("blocks/c1", version, []byte(text), false)
+	}
+	platform := &changingPlatform{objects: []store.Object{
+		store.NewObject("teams/library/desk", 1, value, false),
+		chunk(2, `{"form":1,"sites":[{"site":"s","zone":"huye/b","blocks":["10.0.0.0/8"]},{"site":"t","zone":"musanze/a","blocks":["10.7.0.0/16"]}]}`),
+	}}
+	for _, name := range []string{"kigali/a/0", "kigali/a/1", "kigali/b/2", "huye/a/3", "huye/b/4"} {
+		platform.list.Entries = append(platform.list.Entries, store.Entry{Instance: place.Instance(name), Zone: place.Zone(name[:len(name)-2]), State: store.StateLive})
+	}
+	self := wire.Hello{Instance: "kigali/a/0", Zone: "kigali/a"}
+	pool := peers.New(self, peers.DialTCP)
+	defer pool.Close()
+	heart := peers.NewHeart(self, livingPeers{}, time.Now)
+	e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
+	e.relay.Follow(context.Background())
+	e.roster.Round(context.Background())
+	e.limits.settle()
+	zones := func(client string) [3]place.Zone {
+		t.Helper()
+		found, err := e.Lookup("library/desk", netip.MustParseAddr(client))
+		if err != nil || len(found.Entries()) != 5 {
+			t.Fatal(found, err)
+		}
+		entries := found.Entries()
+		if client == "192.0.2.1" && entries[0].Instance != self.Instance {
+			t.Errorf("an unknown client is led to %s first", entries[0].Instance)
+		}
+		return [3]place.Zone{entries[0].Zone, entries[1].Zone, entries[2].Zone}
+	}
+	follow := func(object store.Object) {
+		platform.objects = []store.Object{object}
+		e.relay.Follow(context.Background())
+	}
+	heart.Round(context.Background())
+	own, huye := [3]place.Zone{"kigali/a", "kigali/a", "kigali/b"}, [3]place.Zone{"huye/b", "huye/a"}
+	check := func(what, client string, want [3]place.Zone) {
+		t.Helper()
+		if got := zones(client); got[0] != want[0] || got[1] != want[1] || want[2] != "" && got[2] != want[2] {
+			t.Errorf("%s: the zones of %s are %v, want %v first", what, client, got, want)
+		}
+	}
+	check("block", "10.1.2.3", huye)
+	check("no block", "192.0.2.1", own)
+	check("a zone without entries", "10.7.0.1", own)
+	follow(chunk(3, `{"form":1,"sites":[{"site":"s","zone":"huye`))
+	check("a bad chunk", "10.1.2.3", huye)
+	if e.relay.Tables().Problem("blocks/c1") == nil {
+		t.Error("a bad chunk is not reported")
+	}
+	follow(store.NewObject("blocks/c1", 4, nil, true))
+	check("deleted", "10.1.2.3", own)
+}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -29,6 +29,10 @@
 	Services    []place.Service `json:"services"`
 	Keys        once.Dump       `json:"keys"`
 	Budgets     []DumpBudget    `json:"budgets"`
+	// Blocks is the number of client blocks in force; BlocksHidden how many
+	// stand in a further chunk, where they do not count.
+	Blocks       int `json:"blocks"`
+	BlocksHidden int `json:"blocks_hidden"`
 }
 
 // DumpPeer is what the process knows of another entry.
@@ -71,6 +75,7 @@
 	dump := Dump{
 		Instance: e.self.Instance, Zone: e.self.Zone, Incarnation: e.self.Incarnation, Version: wire.Version,
 		At: e.now(), Ready: e.Ready(), Leaving: e.Leaving(), InFlight: e.inFlight.Load(), Settings: e.relay.Dump(), RosterAge: e.rosterAge(), Keys: e.once.Dump(),
+		Blocks: e.blocks.Table().Blocks(), BlocksHidden: e.blocks.Table().Hidden(),
 	}
 	for _, entry := range v.entries {
 		if entry.Instance == e.self.Instance {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/endivechute/endivechute/block"
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/once"
@@ -37,6 +38,7 @@
 	once     *once.Keys
 	budgets  budgets
 	limits   *limits
+	blocks   *block.Set
 	view     atomic.Pointer[view]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -48,10 +50,11 @@
 func New(self wire.Hello, seeds map[place.Instance]string, platform store.Store, pool *peers.Pool, heart *peers.Heart, now func() time.Time, logger *logrus.Logger) *Entry {
 	e := &Entry{
 		self: self, seeds: seeds, pool: pool, heart: heart, now: now, log: logs.Part(logger, "entry"),
-		stats: NewStats(),
+		stats: NewStats(), blocks: block.New(),
 	}
 	e.once = once.New(ticket.NewID(self.Instance, self.Incarnation), ticket.DefaultLimits(), reach{pool: pool, heart: heart, now: now}, e, now, logs.Part(logger, "once"))
-	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), nil), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
+	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), objectChecks()), platform, pool, e.relayView, now, logs.Part(logger, "relay"))
+	e.relay.OnChange(e.takeBlocks)
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
 	e.stats.registry.MustRegister(&e.budgets)
--- a/entry/http.go
+++ b/entry/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -65,7 +66,7 @@
 	if err != nil {
 		return errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
 	}
-	found, err := e.Lookup(service)
+	found, err := e.Lookup(service, remoteAddress(c))
 	if err != nil {
 		return err
 	}
@@ -103,6 +104,13 @@
 	return nil
 }
 
+// remoteAddress returns the address of the client, the zero Addr if it has
+// none that is an IP address.
+func remoteAddress(c *fiber.Ctx) netip.Addr {
+	address, _ := netip.AddrFromSlice(c.Context().RemoteIP())
+	return address.Unmap()
+}
+
 // readRequest copies a request out of the buffers of the connection, which are
 // used again for the next one.
 func (e *Entry) readRequest(c *fiber.Ctx) (*Request, error) {
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/endivechute/endivechute/errs"
@@ -33,9 +34,10 @@
 // Expires returns how long the answer may be used.
 func (f Found) Expires() time.Duration { return f.expires }
 
-// Lookup tells a caller which entries to use for a service.
-func (e *Entry) Lookup(service place.Service) (Found, error) {
-	v := e.view.Load()
+// Lookup tells a caller which entries to use for a service: those nearest to
+// the site of the client's address, or to this entry if no block holds the
+// address.
+func (e *Entry) Lookup(service place.Service, client netip.Addr) (Found, error) {
 	if !e.informed() || !e.limits.settled() {
 		return Found{}, errs.NotRun(errs.ReasonNotReady, ComeBack, "instance %s does not know its settings and targets yet", e.self.Instance)
 	}
@@ -43,17 +45,35 @@
 		return Found{}, errs.NotRun(errs.ReasonNoService, 0, "there is no policy for service %q", service)
 	}
 	e.stats.lookups.Inc()
-	entries := make([]store.Entry, 0, LookupEntriesMax)
-	if self, listed := v.entries[e.self.Instance]; listed && !e.leaving.Load() {
-		entries = append(entries, self)
+	entries := e.nearest(e.zoneOf(client))
+	return Found{service: service, entries: entries, keyPrefix: e.keyPrefix(), expires: LookupTTL}, nil
+}
+
+// nearest returns the entries to use for a caller near an availability zone,
+// this one first in its own zone.
+func (e *Entry) nearest(near place.Zone) []store.Entry {
+	v := e.view.Load()
+	byDistance, known := v.nearZones[near]
+	if !known {
+		byDistance = v.nearZones[e.self.Zone]
 	}
-	for _, zones := range v.nearZones {
+	entries := make([]store.Entry, 0, LookupEntriesMax)
+	for _, zones := range byDistance {
 		if len(entries) == LookupEntriesMax {
 			break
 		}
 		for _, i := range rand.Perm(len(zones)) {
-			entries = append(entries, e.pick(v.zoneEntries[zones[i]], LookupEntriesMax-len(entries))...)
+			entries = append(entries, e.inZone(v, zones[i], LookupEntriesMax-len(entries))...)
 		}
 	}
-	return Found{service: service, entries: entries, keyPrefix: e.keyPrefix(), expires: LookupTTL}, nil
+	return entries
+}
+
+// inZone returns at most count entries of the availability zone.
+func (e *Entry) inZone(v *view, zone place.Zone, count int) []store.Entry {
+	self, listed := v.entries[e.self.Instance]
+	if zone != e.self.Zone || !listed || e.leaving.Load() || count <= 0 {
+		return e.pick(v.zoneEntries[zone], count)
+	}
+	return append([]store.Entry{self}, e.pick(v.zoneEntries[zone], count-1)...)
 }
--- a/entry/slope_test.go
+++ b/entry/slope_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 func BenchmarkLookup(b *testing.B) {
 	eachFleet(b, func(b *testing.B, e *Entry) {
 		for b.Loop() {
-			if found, err := e.Lookup("library/search-desk"); err != nil || len(found.Entries()) != LookupEntriesMax {
+			if found, err := e.Lookup("library/search-desk", netip.Addr{}); err != nil || len(found.Entries()) != LookupEntriesMax {
 				b.Fatal(found, err)
 			}
 		}
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/endivechute/endivechute/config"
@@ -15,8 +16,8 @@
 type view struct {
 	entries     map[place.Instance]store.Entry
 	zoneEntries map[place.Zone][]store.Entry
-	// nearZones are the zones of zoneEntries by their distance from here.
-	nearZones [distances][]place.Zone
+	// nearZones are the zones of zoneEntries by their distance from each other.
+	nearZones map[place.Zone][distances][]place.Zone
 	targets   map[place.Service]map[place.Zone][]store.Target
 	clients   map[place.Target]*target.Client
 }
@@ -27,15 +28,11 @@
 	next := *v
 	next.entries = map[place.Instance]store.Entry{}
 	next.zoneEntries = map[place.Zone][]store.Entry{}
-	next.nearZones = [distances][]place.Zone{}
 	for _, entry := range roster.Entries {
 		next.entries[entry.Instance] = entry
-		if next.zoneEntries[entry.Zone] == nil {
-			at := distance(zone, entry.Zone)
-			next.nearZones[at] = append(next.nearZones[at], entry.Zone)
-		}
 		next.zoneEntries[entry.Zone] = append(next.zoneEntries[entry.Zone], entry)
 	}
+	next.nearZones = nearZones(zone, slices.Sorted(maps.Keys(next.zoneEntries)))
 	next.targets = map[place.Service]map[place.Zone][]store.Target{}
 	next.clients = map[place.Target]*target.Client{}
 	for _, t := range roster.Targets {
@@ -52,6 +49,21 @@
 	return &next
 }
 
+// nearZones returns the zones by their distance from each of them and from the
+// own one, which may not be listed.
+func nearZones(own place.Zone, zones []place.Zone) map[place.Zone][distances][]place.Zone {
+	near := make(map[place.Zone][distances][]place.Zone, len(zones)+1)
+	for _, from := range append([]place.Zone{own}, zones...) {
+		var byDistance [distances][]place.Zone
+		for _, to := range zones {
+			at := distance(from, to)
+			byDistance[at] = append(byDistance[at], to)
+		}
+		near[from] = byDistance
+	}
+	return near
+}
+
 // client returns the client of the target that is in use, or a new one.
 func (v *view) client(t store.Target, tables *config.Tables) *target.Client {
 	if known := v.clients[t.Target]; known != nil && known.Address() == t.Address {
