Keep a region's links within their rates

Cause: the settings name the rate of each link, but nothing held requests and answers to it; the bucket of package keeper was not in use. Ruled out: counting at the receiver, where the bytes have crossed already; one keeper a zone, which every request to another region would have to ask. Before: no limit. Conclusion: equal parts of four fifths of a link for the entries of the region that it leaves; an answer's room is taken before its request runs.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -71,6 +71,7 @@
 	leases    *keeper.Leases
 	targets   atomic.Pointer[map[place.Target]*kept]
 	admission steer.Admission
+	links     links
 	meters    atomic.Pointer[map[place.Service]*meter]
 	known     atomic.Bool
 	woken     chan struct{}
@@ -260,16 +261,21 @@
 	k.keeper.Store(&name)
 }
 
-// updateShare takes in this entry's part of its region's limit.
+// updateShare takes in this entry's part of its region's limit, and of the
+// links that leave the region.
 func (l *limits) updateShare(v *view, now time.Duration) {
 	e := l.entry
 	if !e.informed() {
 		return
 	}
-	limit, limited := e.relay.Tables().Fleet().InFlightLimit(e.self.Zone.Region())
+	fleet := e.relay.Tables().Fleet()
+	home := e.self.Zone.Region()
+	limit, limited := fleet.InFlightLimit(home)
 	var members []place.Instance
+	var regions []place.Region
 	for zone, entries := range v.zoneEntries {
-		if zone.Region() != e.self.Zone.Region() {
+		regions = append(regions, zone.Region())
+		if zone.Region() != home {
 			continue
 		}
 		for _, listed := range entries {
@@ -277,6 +283,7 @@
 		}
 	}
 	l.admission.SetShare(steer.ShareOfLimit(limit, e.self.Instance, members), limited, now)
+	l.links.update(home, regions, fleet, len(members), now)
 }
 
 // updateMeters brings the diversions of each service one step nearer to what
--- /dev/null
+++ b/entry/links_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/place"
+)
+
+// fatal is what *testing.T and *rapid.T have in common here.
+type fatal interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	os.Exit(m.Run())
+}
+
+func linkFleet(t fatal, mbit int) *config.Fleet {
+	t.Helper()
+	fleet, err := config.ParseFleet(fmt.Appendf(nil, `{"regions":{"kigali":{"in_flight_limit":9},"huye":{"in_flight_limit":9}},"links":[{"from":"kigali","to":"huye","mbit_per_s":%d}]}`, mbit))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fleet
+}
+
+var bothRegions = []place.Region{"kigali", "huye"}
+
+// Whatever entries send, what they pay for and what their answers take stays,
+// over any stretch of time, within the usable part of the link, one burst and
+// what answers exceeded their expected size by.
+func TestLinkNeverOverItsRate(t *testing.T) {
+	full := 0
+	rapid.Check(t, func(t *rapid.T) {
+		const mbit = 8 // a million bytes a second
+		entries := rapid.IntRange(1, 4).Draw(t, "entries")
+		shares := make([]links, entries)
+		now := time.Duration(1)
+		for i := range shares {
+			shares[i].update("kigali", bothRegions, linkFleet(t, mbit), entries, now)
+		}
+		began, sent, excess := now, 0.0, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			l := &shares[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			size := int64(rapid.IntRange(1, RequestBytesMax).Draw(t, "size"))
+			if rapid.Bool().Draw(t, "request") {
+				if err := l.pay("huye", size, now); err == nil {
+					sent += float64(size)
+				} else {
+					full++
+				}
+				continue
+			}
+			expected := l.share("huye").answers.Load()
+			if settle, err := l.reserve("huye", func() time.Duration { return now }); err == nil {
+				settle(size)
+				sent += float64(size)
+				excess = max(excess, float64(size-expected))
+			}
+		}
+		bound := mbit*mega/bitsPerByte*linkUsable*(now-began).Seconds() + float64(entries)*(linkBurstLeast+excess)
+		if sent > bound {
+			t.Fatalf("%.0f bytes were sent in %v, at most %.0f are allowed", sent, now-began, bound)
+		}
+	})
+	if full == 0 {
+		t.Error("the link was never full, so that nothing was shown")
+	}
+}
+
+func TestLinkRefusesBeforeRun(t *testing.T) {
+	var l links
+	l.update("kigali", bothRegions, linkFleet(t, 8), 1, 1)
+	for l.pay("huye", RequestBytesMax, 1) == nil {
+	}
+	err := l.pay("huye", RequestBytesMax, 1)
+	refusal := errs.AsRefusal(err)
+	if refusal.Verdict() != errs.VerdictNotRun || refusal.Reason() != errs.ReasonLinkFull || refusal.ComeBack() < ComeBack {
+		t.Errorf("pay gave %v, come back %v", err, refusal.ComeBack())
+	}
+	if err := l.pay("huye", RequestBytesMax, time.Duration(1)+refusal.ComeBack()); err != nil {
+		t.Errorf("after the time to come back: %v", err)
+	}
+	if err := l.pay("musanze", RequestBytesMax, 1); err != nil {
+		t.Errorf("a link without a limit: %v", err)
+	}
+}
--- a/entry/route.go
+++ b/entry/route.go
@@ -166,17 +166,32 @@
 	}
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	settle, err := e.reserveAnswer(peer.Zone.Region())
+	if err != nil {
+		return refusalToWire(err)
+	}
 	answer, err := e.serveForward(ctx, f, r)
 	if err != nil {
+		settle(0)
 		refused := refusalToWire(err)
 		refused.Keeper = e.limits.tell(f.Target)
 		return refused
 	}
+	settle(answerBytes(answer))
 	told := *answer // another call may share the answer
 	told.Keeper = e.limits.tell(answer.Target)
 	return &told
 }
 
+// reserveAnswer takes room for the answer on the link to the region that the
+// request came from.
+func (e *Entry) reserveAnswer(from place.Region) (func(size int64), error) {
+	if from == e.self.Zone.Region() {
+		return func(int64) {}, nil
+	}
+	return e.limits.links.reserve(from, e.limits.clock)
+}
+
 func (e *Entry) serveForward(ctx context.Context, f *wire.Forward, r *Request) (*wire.Answer, error) {
 	v := e.view.Load()
 	policy, err := e.admit(r)
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -143,6 +143,11 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
+	if zone.Region() != e.self.Zone.Region() {
+		if err := e.limits.links.pay(zone.Region(), requestBytes(r), e.limits.clock()); err != nil {
+			return nil, err
+		}
+	}
 	return e.forwardZone(ctx, v, r, zone)
 }
 
