--- a/entry/limits.go
+++ b/entry/limits.go
@@ -74,6 +74,7 @@
 	leases    *keeper.Leases
 	targets   atomic.Pointer[map[place.Target]*kept]
 	admission steer.Admission
+	links     links
 	meters    atomic.Pointer[map[place.Service]*meter]
 	known     atomic.Bool
 	updated   bool // the last update knew settings and instances; used by the round alone
@@ -102,14 +103,18 @@
 // clock returns the time since the process began, never 0.
 func (l *limits) clock() time.Duration { return l.entry.now().Sub(l.began) + 1 }
 
-// settled tells whether the keepers of the zone's targets are known.
-func (l *limits) settled() bool { return l.known.Load() || l.clock() >= settleTime }
+// settled tells whether the keepers of the zone's targets are known and the
+// entry's share of its region's limit is in force.
+func (l *limits) settled() bool {
+	now := l.clock()
+	return l.known.Load() || now >= settleTime && l.admission.Settled(now)
+}
 
 // settle tells whether the keeper of a target isn't known at the moment, and
-// notes the first time that all are.
+// notes the first time that all are and the entry's share is in force.
 func (l *limits) settle() (unsettled bool) {
 	now := l.clock()
-	sure := l.updated
+	sure := l.updated && l.admission.Settled(now)
 	for _, k := range *l.targets.Load() {
 		view := k.view.Load()
 		_, known := l.leases.Keeper(k.resource, now)
@@ -289,13 +294,21 @@
 	k.keeper.Store(&name)
 }
 
-// updateShare takes in this entry's part of its region's limit.
+// updateShare takes in this entry's part of its region's limit, and of the
+// links that leave the region.
 func (l *limits) updateShare(v *view, now time.Duration) {
 	e := l.entry
-	limit, limited := e.relay.Tables().Fleet().InFlightLimit(e.self.Zone.Region())
+	if !e.informed() {
+		return
+	}
+	fleet := e.relay.Tables().Fleet()
+	home := e.self.Zone.Region()
+	limit, limited := fleet.InFlightLimit(home)
 	var members []place.Instance
+	var regions []place.Region
 	for zone, entries := range v.zoneEntries {
-		if zone.Region() != e.self.Zone.Region() {
+		regions = append(regions, zone.Region())
+		if zone.Region() != home {
 			continue
 		}
 		for _, listed := range entries {
@@ -303,6 +316,7 @@
 		}
 	}
 	l.admission.SetShare(steer.ShareOfLimit(limit, e.self.Instance, members), limited, now)
+	l.links.update(home, regions, fleet, len(members), now)
 }
 
 // updateMeters brings the diversions of each service one step nearer to what
@@ -389,14 +403,13 @@
 func (l *limits) askViews(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
 	defer cancel()
-	near := l.entry.pick(l.entry.view.Load().zoneEntries[l.entry.self.Zone], viewsAsked)
 	var calls conc.WaitGroup
-	for _, other := range near {
+	for _, member := range l.entry.pick(l.entry.view.Load().zoneEntries[l.entry.self.Zone], viewsAsked) {
 		calls.Go(func() {
-			answer, err := l.entry.pool.Call(ctx, other.Instance, &wire.KeepersAsk{})
+			answer, err := l.entry.pool.Call(ctx, member.Instance, &wire.KeepersAsk{})
 			if views, ok := answer.(*wire.Keepers); err == nil && ok {
 				for i := range views.Views {
-					l.learn(other.Instance, &views.Views[i])
+					l.learn(member.Instance, &views.Views[i])
 				}
 			}
 		})
@@ -425,7 +438,7 @@
 		return nil
 	}
 	v := k.gate.View()
-	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), LatencyMicros: v.Latency.Microseconds(), Failures: v.Failing, Leaving: v.Leaving}
+	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds()}
 }
 
 // leave gives the leases up before a planned stop.
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -155,6 +155,11 @@
 	if zone == e.self.Zone {
 		return e.tryTarget(ctx, v, policy, r)
 	}
+	if zone.Region() != e.self.Zone.Region() {
+		if err := e.limits.links.pay(zone.Region(), requestBytes(r), e.limits.clock()); err != nil {
+			return nil, err
+		}
+	}
 	return e.forwardZone(ctx, v, r, zone)
 }
 
@@ -227,20 +232,37 @@
 		if k.hold.Held(now) {
 			own := k.gate.View()
 			c := steer.NewCandidate(t.Target, e.self.Instance)
-			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0).WithLatency(own.Latency))
+			candidates = append(candidates, c.WithView(own.Free, own.Wait, own.Failing, own.Leaving, 0, 0).WithService(own.Service))
 			continue
 		}
 		c := steer.NewCandidate(t.Target, *k.keeper.Load())
 		if told := k.view.Load(); told != nil {
 			wait := time.Duration(told.WaitMicros) * time.Microsecond
 			c = c.WithView(told.Free, wait, told.Failures, told.Leaving || k.leaving.Load(), now-told.gained, int(k.sent.Load()))
-			c = c.WithLatency(time.Duration(told.LatencyMicros) * time.Microsecond)
+			c = c.WithService(time.Duration(told.ServiceMicros) * time.Microsecond)
 		}
 		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
+// keeperOf returns the keeper of a target and how long the target takes to
+// answer, in milliseconds, 0 if nobody told.
+func (l *limits) keeperOf(name place.Target) (place.Instance, float64) {
+	k := (*l.targets.Load())[name]
+	if k == nil {
+		return "", 0
+	}
+	if k.hold.Held(l.clock()) {
+		return l.entry.self.Instance, inMillis(k.gate.View().Service)
+	}
+	told := k.view.Load()
+	if told == nil {
+		return *k.keeper.Load(), 0
+	}
+	return *k.keeper.Load(), inMillis(time.Duration(told.ServiceMicros) * time.Microsecond)
+}
+
 // learnNear takes in what a keeper of this zone added to an answer.
 func (l *limits) learnNear(from place.Instance, told *wire.KeeperView) {
 	if entry, found := l.entry.view.Load().entries[from]; found && entry.Zone == l.entry.self.Zone {
@@ -265,7 +287,7 @@
 		return nil, errs.NotRun(errs.ReasonLostKeeper, ComeBack, "instance %s ceased to be the keeper of target %s", e.self.Instance, name)
 	}
 	answer, err := client.Do(ctx, targetRequest(policy, r))
-	e.limits.done(ctx, name, k, pass, outcomeOf(err))
+	e.limits.done(ctx, name, k, pass, outcomeOf(err, !policy.NonIdempotent(r.method, r.plainPath())))
 	if err != nil {
 		return nil, err
 	}
@@ -282,16 +304,17 @@
 	return target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
 }
 
-// outcomeOf tells what became of the slot.
-func outcomeOf(err error) keeper.Outcome {
+// outcomeOf tells what became of the slot. Targets stop idempotent requests
+// whose connection is closed.
+func outcomeOf(err error, idempotent bool) keeper.Outcome {
 	if err == nil {
 		return keeper.OutcomeRan
 	}
 	refusal := errs.AsRefusal(err)
-	givenUp := refusal.Reason() == errs.ReasonDeadline || refusal.Reason() == errs.ReasonCanceled
+	givenUp := refusal.Reason() == errs.ReasonCanceled || refusal.Reason() == errs.ReasonDeadline
 	switch {
-	case refusal.Verdict() != errs.VerdictNotRun && givenUp:
-		return keeper.OutcomeGivenUp
+	case refusal.Verdict() != errs.VerdictNotRun && idempotent && givenUp:
+		return keeper.OutcomeCanceled
 	case refusal.Verdict() != errs.VerdictNotRun:
 		return keeper.OutcomeUnknown
 	}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -21,9 +21,6 @@
 	// UnknownWait is the least wait that is expected at a target of which
 	// nothing is known: unknown never counts as idle.
 	UnknownWait = 20 * time.Millisecond
-	// LatencyRatio is how many times longer a target takes than another one
-	// before that counts.
-	LatencyRatio = 2
 	// AsideDivisor: no more than one in so many of a zone's targets is set
 	// aside for bad health at once.
 	AsideDivisor = 3
@@ -38,12 +35,12 @@
 	keeper   place.Instance
 	known    bool
 	wait     time.Duration
-	latency  time.Duration
 	free     int
 	age      time.Duration
 	sent     int // sent to its keeper since the knowledge was gained
 	failures int
 	leaving  bool
+	service  time.Duration
 }
 
 // NewCandidate makes a Candidate of which nothing is known but its keeper.
@@ -66,9 +63,9 @@
 	return c
 }
 
-// WithLatency adds how long a request is expected to take once it has a slot.
-func (c Candidate) WithLatency(latency time.Duration) Candidate {
-	c.latency = latency
+// WithService adds how long the target takes to answer once it has a slot.
+func (c Candidate) WithService(service time.Duration) Candidate {
+	c.service = service
 	return c
 }
 
@@ -92,17 +89,6 @@
 	return c.wait + service*time.Duration(c.sent-c.free)
 }
 
-// timeBeside returns the expected wait and, if it is much longer than the
-// other's, the time to run. A small difference doesn't count: it would starve a
-// target that is a little slower.
-func (c Candidate) timeBeside(other Candidate, service time.Duration) time.Duration {
-	wait := c.ExpectedWait(service)
-	if c.latency > LatencyRatio*other.latency {
-		wait += c.latency
-	}
-	return wait
-}
-
 // Usable returns the candidates that may get new work: none that leave, and of
 // those that fail no more than one in AsideDivisor left out, the worst first.
 func Usable(candidates []Candidate) []Candidate {
@@ -132,12 +118,24 @@
 		j++
 	}
 	first, second := usable[i], usable[j]
-	if second.timeBeside(first, service) < first.timeBeside(second, service) {
+	if sooner(second, first, service) {
 		first, second = second, first
 	}
 	return []Candidate{first, second}
 }
 
+// sooner tells whether a is expected to answer before b. Of two that have no
+// difference in their waits the one that answers in less than two thirds of the
+// other's time is: smaller differences are noise, and following them would
+// starve a target for one slow answer.
+func sooner(a, b Candidate, service time.Duration) bool {
+	waitA, waitB := a.ExpectedWait(service), b.ExpectedWait(service)
+	if waitA == waitB {
+		return a.service+a.service/2 < b.service
+	}
+	return waitA+a.service < waitB+b.service
+}
+
 // Zone is an availability zone that has usable targets of the service.
 type Zone struct {
 	name    place.Zone
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -67,10 +67,10 @@
 	Target     place.Target `msgpack:"t"`
 	Free       int          `msgpack:"f"`
 	WaitMicros int64        `msgpack:"w"`
-	// LatencyMicros is how long a request is expected to run.
-	LatencyMicros int64 `msgpack:"y"`
-	Failures      int   `msgpack:"b"`
-	Leaving       bool  `msgpack:"l"`
+	Failures   int          `msgpack:"b"`
+	Leaving    bool         `msgpack:"l"`
+	// ServiceMicros is the time from dispatch to answer.
+	ServiceMicros int64 `msgpack:"s"`
 }
 
 // Noted answers a message that needs no other answer.
