Forget keys without holding up others, and drop adopted records

Cause: the search for keys whose time is past looked at every key under the ledger's lock; the witness took one lock for all homes.

--- a/once/home.go
+++ b/once/home.go
@@ -46,8 +46,11 @@
 	witness ticket.ID
 }
 
-// book is a ledger with the requests that wait on it.
+// book is a ledger with the requests that wait on it. Once dropped, it gives
+// out no prefix.
 type book struct {
+	dropped bool
+
 	mu      sync.Mutex
 	ledger  *ticket.Ledger
 	pending map[ticket.Key]*pending
@@ -94,12 +97,18 @@
 	if _, err := rand.Read(nonce[:]); err != nil || h.stopping.Load() {
 		return ticket.Prefix{}, false
 	}
-	b := h.add(pair{h.self, witness}, func() *ticket.Ledger {
-		return ticket.NewLedger(h.self, witness, zone, h.budget)
-	})
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ledger.Issue(h.now(), binary.BigEndian.Uint64(nonce[:]))
+	for {
+		b := h.add(pair{h.self, witness}, func() *ticket.Ledger {
+			return ticket.NewLedger(h.self, witness, zone, h.budget)
+		})
+		b.mu.Lock()
+		prefix, ok := b.ledger.Issue(h.now(), binary.BigEndian.Uint64(nonce[:]))
+		dropped := b.dropped
+		b.mu.Unlock()
+		if !dropped {
+			return prefix, ok
+		}
+	}
 }
 
 // serve runs the request, joins the one that runs under its key, or returns
@@ -344,5 +353,6 @@
 			close(p.done)
 		}
 	}
-	return drop && len(b.pending) == 0
+	b.dropped = drop && len(b.pending) == 0
+	return b.dropped
 }
--- a/once/witness.go
+++ b/once/witness.go
@@ -21,36 +21,57 @@
 	budget   *ticket.Budget
 	stopping atomic.Bool
 
+	// shelves is replaced and never changed; mu is held while replacing it.
+	shelves atomic.Pointer[map[ticket.ID]*shelf]
 	mu      sync.Mutex
-	shelves map[ticket.ID]*shelf
 }
 
-// shelf is the records of one home.
+// shelf is the records of one home. Once dropped, it is used no more, so that
+// nothing is recorded where nobody looks.
 type shelf struct {
 	mu      sync.Mutex
 	records *ticket.Records
+	dropped bool
 }
 
 func newWitness(self ticket.ID, limits ticket.Limits, now func() time.Time) *witness {
-	return &witness{self: self, now: now, budget: ticket.NewBudget(limits), shelves: map[ticket.ID]*shelf{}}
+	w := &witness{self: self, now: now, budget: ticket.NewBudget(limits)}
+	w.shelves.Store(&map[ticket.ID]*shelf{})
+	return w
 }
 
-// use calls do with the records of a home. The records can't be dropped
-// meanwhile.
+// use calls do with the records of a home.
 func (w *witness) use(home ticket.ID, do func(*ticket.Records)) {
+	for !w.shelf(home).use(do) {
+	}
+}
+
+func (s *shelf) use(do func(*ticket.Records)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dropped {
+		do(s.records)
+	}
+	return !s.dropped
+}
+
+// shelf returns the records of a home, which are new if there are none.
+func (w *witness) shelf(home ticket.ID) *shelf {
+	if known := (*w.shelves.Load())[home]; known != nil {
+		return known
+	}
 	w.mu.Lock()
-	s := w.shelves[home]
-	if s == nil {
-		s = &shelf{records: ticket.NewRecords(w.self, home, w.budget)}
-		w.shelves[home] = s
+	defer w.mu.Unlock()
+	shelves := maps.Clone(*w.shelves.Load())
+	if shelves[home] == nil {
+		s := &shelf{records: ticket.NewRecords(w.self, home, w.budget)}
 		if w.stopping.Load() {
 			s.records.Release(w.now())
 		}
+		shelves[home] = s
 	}
-	s.mu.Lock()
-	w.mu.Unlock()
-	defer s.mu.Unlock()
-	do(s.records)
+	w.shelves.Store(&shelves)
+	return shelves[home]
 }
 
 func (w *witness) record(key ticket.Key, digest ticket.Digest, bound time.Duration) (reply ticket.RecordReply) {
@@ -76,15 +97,13 @@
 	return adopted
 }
 
-// adopt takes over a home's ledger, or returns nil if this process stops or is
-// not the witness.
-func (w *witness) adopt(handover ticket.Handover, budget *ticket.Budget) (adopted *ticket.Ledger) {
-	if handover.Witness != w.self {
-		return nil
-	}
+// adopt takes over a home's ledger and gives it to the home of this process, in
+// one step for all that ask for a key. It returns false if this process stops.
+func (w *witness) adopt(handover ticket.Handover, h *home) (adopted bool) {
 	w.use(handover.Home, func(r *ticket.Records) {
 		if !w.stopping.Load() {
-			adopted = r.Adopt(handover, budget)
+			h.adopt(r.Adopt(handover, h.budget))
+			adopted = true
 		}
 	})
 	return adopted
@@ -94,7 +113,7 @@
 func (w *witness) release() []ticket.Release {
 	w.mu.Lock()
 	w.stopping.Store(true)
-	shelves := maps.Clone(w.shelves)
+	shelves := *w.shelves.Load()
 	w.mu.Unlock()
 	var messages []ticket.Release
 	for _, s := range shelves {
@@ -111,13 +130,15 @@
 func (w *witness) sweep() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for home, s := range w.shelves {
+	shelves := maps.Clone(*w.shelves.Load())
+	for home, s := range shelves {
 		s.mu.Lock()
-		if s.records.Sweep(w.now()) {
-			delete(w.shelves, home)
+		if s.dropped = s.records.Sweep(w.now()); s.dropped {
+			delete(shelves, home)
 		}
 		s.mu.Unlock()
 	}
+	w.shelves.Store(&shelves)
 }
 
 // Handle answers the messages of other processes about keys: wire.Forward with
@@ -191,10 +212,5 @@
 	case handover.Witness != k.witness.self:
 		return refusalToWire(errs.MayHaveRun(errs.ReasonLostHome, "instance %s was restarted", k.witness.self.Instance()))
 	}
-	adopted := k.witness.adopt(handover, k.home.budget)
-	if adopted == nil {
-		return &wire.KeyTaken{}
-	}
-	k.home.adopt(adopted)
-	return &wire.KeyTaken{Taken: true}
+	return &wire.KeyTaken{Taken: k.witness.adopt(handover, k.home)}
 }
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -129,6 +129,7 @@
 		l.reserve(k)
 	}
 	r.adopted = l
+	r.adoptedEnd = time.UnixMilli(l.lastExpires).Add(SkewMax + r.budget.limits.KeepTime)
 	return l
 }
 
@@ -138,7 +139,7 @@
 	e, known := l.entries[k.serial()]
 	if !known {
 		e = &entry{state: stateElsewhere, digest: k.Digest, expires: k.Expires}
-		l.entries[k.serial()] = e
+		l.keep(k.serial(), e)
 		l.takeOver()
 	}
 	if e.state == stateElsewhere {
@@ -160,7 +161,7 @@
 		copied.state = stateDone
 		l.budget.settle(len(copied.outcome.answer))
 	}
-	l.entries[s] = &copied
+	l.keep(s, &copied)
 }
 
 // takeOver counts the room of a key beyond the budget.
@@ -174,7 +175,7 @@
 func (l *Ledger) keepRefusal(s serial, e *entry) {
 	l.budget.refusals.Add(1)
 	outcome := Refused(errs.NotRun(errs.ReasonLostHome, 0, "the request was refused before the home or the witness stopped"))
-	l.entries[s] = &entry{state: stateRefused, digest: e.digest, expires: e.expires, outcome: outcome, reported: true}
+	l.keep(s, &entry{state: stateRefused, digest: e.digest, expires: e.expires, outcome: outcome, reported: true})
 }
 
 // Release tells a home that its witness stops. The witness names the keys that
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -55,11 +55,11 @@
 // after the witness has acknowledged the key. It is not safe for use by
 // several goroutines at once.
 type Ledger struct {
-	home        ID
-	witness     ID
-	zone        place.Zone
-	budget      *Budget
-	entries     map[serial]*entry
+	home    ID
+	witness ID
+	zone    place.Zone
+	budget  *Budget
+	table
 	phase       phase
 	lastExpires int64
 	closedUntil int64
@@ -69,7 +69,7 @@
 // NewLedger makes the ledger of a home's keys that name the given witness,
 // which stands in the given availability zone.
 func NewLedger(home, witness ID, zone place.Zone, budget *Budget) *Ledger {
-	return &Ledger{home: home, witness: witness, zone: zone, budget: budget, entries: map[serial]*entry{}}
+	return &Ledger{home: home, witness: witness, zone: zone, budget: budget, table: newTable()}
 }
 
 // Home returns the home that the keys name.
@@ -147,7 +147,7 @@
 		return l.refuseNew(key, digest, errs.ReasonKeysFull, "the home keeps as many keys as it may; look up again for a new key")
 	}
 	e := &entry{digest: digest, expires: key.prefix.expires}
-	l.entries[key.serial()] = e
+	l.keep(key.serial(), e)
 	return l.begin(now, key, e, bound)
 }
 
@@ -209,7 +209,7 @@
 		}
 		return done
 	}
-	l.entries[key.serial()] = &entry{state: stateRefused, digest: digest, expires: key.prefix.expires, outcome: done.outcome, reported: true}
+	l.keep(key.serial(), &entry{state: stateRefused, digest: digest, expires: key.prefix.expires, outcome: done.outcome, reported: true})
 	return done
 }
 
@@ -294,12 +294,9 @@
 // Sweep forgets keys whose time is past, and tells whether the ledger can be
 // dropped: it keeps nothing, and no prefix of it is alive.
 func (l *Ledger) Sweep(now time.Time) bool {
-	for s, e := range l.entries {
-		if !now.Before(time.UnixMilli(e.expires).Add(l.budget.limits.KeepTime)) && e.ended() {
-			l.budget.giveEntry(e)
-			delete(l.entries, s)
-		}
-	}
+	l.sweep(l.budget, func(e *entry) bool {
+		return e.ended() && !now.Before(time.UnixMilli(e.expires).Add(l.budget.limits.KeepTime))
+	})
 	return len(l.entries) == 0 && !now.Before(time.UnixMilli(l.lastExpires).Add(l.budget.limits.KeepTime))
 }
 
--- a/ticket/ledger_test.go
+++ b/ticket/ledger_test.go
@@ -248,3 +248,23 @@
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc)
 }
+
+// BenchmarkSweep measures a search for keys to forget that finds none, while
+// no other request can be decided on.
+func BenchmarkSweep(b *testing.B) {
+	for _, keys := range []uint64{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			used := ticket.DefaultLimits()
+			used.BytesMax = 100_000 * used.AnswerBytesMax
+			p := newPair(used)
+			for i := range keys {
+				p.ledger.Arrive(start, p.prefix.Key(i+1), 1, bound)
+				p.ledger.Acknowledge(start, p.prefix.Key(i+1))
+				p.ledger.Finish(p.prefix.Key(i+1), ticket.Answered([]byte("answer")))
+			}
+			for b.Loop() {
+				p.ledger.Sweep(start)
+			}
+		})
+	}
+}
--- a/ticket/oracle_test.go
+++ b/ticket/oracle_test.go
@@ -504,9 +504,11 @@
 
 func (w *world) sweep(*rapid.T) {
 	for _, n := range w.nodes {
-		for _, l := range sorted(n.ledgers[n.id]) {
-			if l.Sweep(n.now()) {
-				delete(n.ledgers[n.id], l.Witness())
+		for home, ledgers := range n.ledgers {
+			for witness, l := range ledgers {
+				if l.Sweep(n.now()) {
+					delete(n.ledgers[home], witness)
+				}
 			}
 		}
 		for home, r := range n.records {
--- a/ticket/records.go
+++ b/ticket/records.go
@@ -59,15 +59,17 @@
 	witness ID
 	home    ID
 	budget  *Budget
-	entries map[serial]*entry
+	table
 	adopted *Ledger
+	// adoptedEnd is when nothing is known any more of the adopted keys.
+	adoptedEnd time.Time
 	// released: the home needs no acknowledgements any more.
 	released bool
 }
 
 // NewRecords makes the records that the witness keeps for a home.
 func NewRecords(witness, home ID, budget *Budget) *Records {
-	return &Records{witness: witness, home: home, budget: budget, entries: map[serial]*entry{}}
+	return &Records{witness: witness, home: home, budget: budget, table: newTable()}
 }
 
 // Adopted returns the ledger that was taken over from the home, or nil.
@@ -103,7 +105,7 @@
 		return RecordFull
 	}
 	final := now.Add(bound + bound/finalMargin)
-	r.entries[key.serial()] = &entry{state: stateRecording, digest: digest, expires: key.prefix.expires, startBy: final}
+	r.keep(key.serial(), &entry{state: stateRecording, digest: digest, expires: key.prefix.expires, startBy: final})
 	return RecordAcknowledged
 }
 
@@ -153,7 +155,7 @@
 	if !r.budget.takeRefusal() {
 		return SealUnknown{after: fullPause, why: "the witness keeps as many sealed keys as it may"}
 	}
-	r.entries[key.serial()] = &entry{state: stateRefused, digest: digest, expires: key.prefix.expires}
+	r.keep(key.serial(), &entry{state: stateRefused, digest: digest, expires: key.prefix.expires})
 	return SealNotRun{}
 }
 
@@ -174,12 +176,13 @@
 // Sweep forgets keys whose time is past, and tells whether the records can be
 // dropped.
 func (r *Records) Sweep(now time.Time) bool {
-	for s, e := range r.entries {
-		if !now.Before(time.UnixMilli(e.expires).Add(SkewMax + r.budget.limits.KeepTime)) {
-			r.forget(s)
-		}
+	r.sweep(r.budget, func(e *entry) bool {
+		return !now.Before(time.UnixMilli(e.expires).Add(SkewMax + r.budget.limits.KeepTime))
+	})
+	if r.adopted != nil {
+		return !now.Before(r.adoptedEnd)
 	}
-	return len(r.entries) == 0 && r.adopted == nil && !r.released
+	return len(r.entries) == 0 && !r.released
 }
 
 func (r *Records) forget(s serial) {
