--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,7 +57,7 @@
 	e.relay.OnChange(e.takeBlocks)
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.Part(logger, "roster"))
 	e.roster.OnChange(e.takeRoster)
-	e.stats.registry.MustRegister(&e.budgets)
+	e.stats.registry.MustRegister(&e.budgets, e.once)
 	e.limits = newLimits(e)
 	e.takeRoster(store.Roster{})
 	return e
