Let a new process wait for its zone before it reads the store

Cause: a process that starts knows no other member of its zone yet, took itself for a relay and read every object from the store. Ruled out: waiting always for the peers: a process that knows its zone needs no wait. Conclusion: a process that really is alone is ready 2 s later.

--- a/relay/follow.go
+++ b/relay/follow.go
@@ -16,6 +16,9 @@
 // have not made it ready, hands on what came, and returns how long to wait
 // before the next call.
 func (r *Relay) Follow(ctx context.Context) time.Duration {
+	if r.waitForOthers() {
+		return aloneWait
+	}
 	if !r.IsRelay() && !r.mayJoinByStore() {
 		return RoundInterval
 	}
@@ -41,6 +44,19 @@
 	return WatchPause
 }
 
+// waitForOthers tells whether a new process should wait for the heartbeats of
+// the other members of its zone. Without it each process that starts would take
+// itself for a relay and read everything from the store.
+func (r *Relay) waitForOthers() bool {
+	if r.Ready() || len(r.view().zone) > 1 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.alone++
+	return r.alone <= aloneWaits
+}
+
 // mayJoinByStore tells whether a new process has waited long enough for its
 // peers.
 func (r *Relay) mayJoinByStore() bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,11 @@
 	// one peer for a new process to be content with that peer alone.
 	FreshAge = 30 * time.Second
 
+	// aloneWaits is how often a new process that knows no other member of its
+	// zone waits aloneWait for their heartbeats, before it takes itself for a
+	// relay and reads all objects from the store.
+	aloneWaits = 4
+	aloneWait  = 500 * time.Millisecond
 	// joinWaits is how many round intervals a new process that is no relay
 	// waits for its peers before it reads the store itself.
 	joinWaits        = 2
@@ -126,6 +131,7 @@
 	anchor place.Zone
 	fails  int
 	waited int
+	alone  int
 }
 
 // New makes a Relay that holds no settings yet. tables are the empty tables to
