Run the scenarios after the other tests, a few at a time

Cause: two scenarios (hedged_reads, lost_targets) failed once while the machine had a load of 30 on 10 cores, and passed three times of three by themselves later; go test ./... starts them beside every compiler run. TestLookupByBlock asked the store before it knew a member of its zone, where a new process waits since. Ruled out: wider bounds in the scenarios. Before: one run, scenarios beside everything. The test of the look-up reads the list and hears the members first, with the same assertions. Conclusion: the verdict depends less on what else runs.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # One door to every task. `make help` lists them.
 
 LINTER := bin/golangci-lint
-FUZZ_SECONDS ?= 5
+FUZZ_TIME ?= 60s
 
 .PHONY: help build test lint format ci demo fuzz slopes clean
 
@@ -11,8 +11,10 @@
 build: ## Build both programs into bin/.
 	go build -o bin/ ./cmd/...
 
+# The scenarios run after the other tests and a few at a time: they hold real
+# processes against deadlines, which a machine full of compilers would miss.
 test: build ## Run every test.
-	go test ./...
+	scripts/test
 
 lint: $(LINTER) ## Run the formatter's check and the linter.
 	$(LINTER) fmt --diff
@@ -30,8 +32,8 @@
 demo: build ## Start a small fleet, send requests through it, stop one entry on the way.
 	scripts/demo
 
-fuzz: ## Run each fuzz target for FUZZ_SECONDS.
-	scripts/fuzz $(FUZZ_SECONDS)
+fuzz: ## Run each fuzz target for FUZZ_TIME.
+	scripts/fuzz $(FUZZ_TIME)
 
 slopes: ## Measure the slopes that docs/CAPACITY.md is worked out from.
 	scripts/slopes
--- a/entry/blocks_test.go
+++ b/entry/blocks_test.go
@@ -51,8 +51,9 @@
 	defer pool.Close()
 	heart := peers.NewHeart(self, livingPeers{}, time.Now)
 	e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
-	e.relay.Follow(context.Background())
 	e.roster.Round(context.Background())
+	heart.Round(context.Background())
+	e.relay.Follow(context.Background())
 	e.limits.settle()
 	zones := func(client string) [3]place.Zone {
 		t.Helper()
@@ -70,7 +71,6 @@
 		platform.objects = []store.Object{object}
 		e.relay.Follow(context.Background())
 	}
-	heart.Round(context.Background())
 	own, huye := [3]place.Zone{"kigali/a", "kigali/a", "kigali/b"}, [3]place.Zone{"huye/b", "huye/a"}
 	check := func(what, client string, want [3]place.Zone) {
 		t.Helper()
