Hold the store's client to one sending of each write

Cause: clients that repeat a request on a kept connection break the reports of a change. Ruled out: nothing. Before: the client was tested through the stand-in only. After: TestWriteIsSentOnce lets the platform take a PUT and a DELETE on a kept connection and close it without an answer: each arrives once. TestRepliesAreChecked covers refusals, malformed and endless replies. Conclusion: net/http needs no setting for it.

--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,89 @@
+package store_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/store"
+)
+
+func serve(t *testing.T, handler http.HandlerFunc) *store.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := store.NewClient(strings.TrimPrefix(server.URL, "http://"), "secret")
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client
+}
+
+// TestWriteIsSentOnce lets the platform take a write on a kept connection and
+// close it without an answer: the client must not send the write again.
+func TestWriteIsSentOnce(t *testing.T) {
+	var writes atomic.Int64
+	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, `{"path":"a","version":1}`)
+			return
+		}
+		writes.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	for _, write := range []func() (uint64, error){
+		func() (uint64, error) { return client.Put(context.Background(), "a", []byte("x"), 1) },
+		func() (uint64, error) { return client.Delete(context.Background(), "a", 1) },
+	} {
+		if _, err := client.Get(context.Background(), "a"); err != nil {
+			t.Fatal(err)
+		}
+		before := writes.Load()
+		if _, err := write(); err == nil || store.NotWritten(err) {
+			t.Errorf("a write without an answer gave %v, want an error that leaves the outcome open", err)
+		}
+		if sent := writes.Load() - before; sent != 1 {
+			t.Errorf("the write was sent %d times", sent)
+		}
+	}
+}
+
+func TestRepliesAreChecked(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		body   string
+		want   error
+		text   string
+	}{
+		"not found":   {http.StatusNotFound, "", store.ErrNotFound, ""},
+		"conflict":    {http.StatusConflict, `{"version":4}`, store.ErrConflict, ""},
+		"forbidden":   {http.StatusForbidden, "", store.ErrForbidden, ""},
+		"too large":   {http.StatusRequestEntityTooLarge, "", store.ErrTooLarge, ""},
+		"unavailable": {http.StatusServiceUnavailable, "", nil, "status 503"},
+		"malformed":   {http.StatusOK, `{"path":`, nil, "decode the platform's reply"},
+		"wrong type":  {http.StatusOK, `{"version":"x"}`, nil, "decode the platform's reply"},
+		"endless":     {http.StatusOK, strings.Repeat(" ", 2*store.ValueBytesMax+1), nil, "longer than"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			})
+			_, err := client.Get(context.Background(), "teams/a/x y")
+			if err == nil || (test.want != nil && !errors.Is(err, test.want)) || !strings.Contains(err.Error(), test.text) {
+				t.Errorf("Get gave %v, want %v %s", err, test.want, test.text)
+			}
+			if _, err := client.Put(context.Background(), "a", nil, 0); err == nil || store.NotWritten(err) != (test.want != nil) {
+				t.Errorf("Put gave %v, of which NotWritten says %v", err, store.NotWritten(err))
+			}
+		})
+	}
+}
