Give the witness half a second

Cause: on a busy machine 0.3 s can pass without any fault, and each such request costs its caller an attempt.

--- a/once/once.go
+++ b/once/once.go
@@ -26,7 +26,7 @@
 const (
 	// RecordTimeout bounds how long the home waits for the acknowledgement of
 	// the witness, or for the answer to another message about keys.
-	RecordTimeout = 300 * time.Millisecond
+	RecordTimeout = 500 * time.Millisecond
 	// SealTimeout bounds how long an entry waits for the witness's word.
 	SealTimeout = time.Second
 	// BoundMax is the longest time after its arrival in which a request may be
