--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -123,6 +123,7 @@
 	queue     []waiter
 	inherited []time.Duration // until when an earlier keeper's work is counted
 	handover  time.Duration   // which handover the inherited work came with, or 0
+	newTerm   bool            // inherited may hold another keeper's work
 	reports   []int           // running as the last reports said, since the takeover
 	leaving   bool
 	coldSince time.Duration
@@ -174,6 +175,7 @@
 // as taken by its work until the longest time has passed, or until
 // ReportsAgreeing new reports say less.
 func (l *Ledger) TakeOver(now time.Duration) {
+	l.newTerm = true
 	l.reports = nil
 	l.handover = 0
 	l.inherited = l.inherited[:0]
@@ -186,6 +188,7 @@
 // the time that a request which it sent may still run. The handover is a number
 // other than 0 by which InheritedDone is told from one of another term.
 func (l *Ledger) Inherit(handover time.Duration, left []time.Duration, now time.Duration) {
+	l.newTerm = true
 	l.reports = nil
 	l.handover = handover
 	l.inherited = l.inherited[:0]
@@ -255,8 +258,14 @@
 	return capacity
 }
 
-// unsure tells whether slots are counted for work that isn't this keeper's.
-func (l *Ledger) unsure(now time.Duration) bool { return l.busy(now) > len(l.running) }
+// unsure tells whether slots are still counted for the work of a keeper before
+// this one.
+func (l *Ledger) unsure(now time.Duration) bool {
+	if l.busy(now) == len(l.running) {
+		l.newTerm = false
+	}
+	return l.newTerm
+}
 
 // busy returns how many requests are counted as being at the target.
 func (l *Ledger) busy(now time.Duration) int {
