--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -123,7 +123,7 @@
 	queue     []waiter
 	inherited []time.Duration // until when an earlier keeper's work is counted
 	handover  time.Duration   // which handover the inherited work came with, or 0
-	newTerm   bool            // inherited may hold another keeper's work
+	doubtful  bool            // inherited holds work that may have ended long ago
 	reports   []int           // running as the last reports said, since the takeover
 	leaving   bool
 	coldSince time.Duration
@@ -175,7 +175,7 @@
 // as taken by its work until the longest time has passed, or until
 // ReportsAgreeing new reports say less.
 func (l *Ledger) TakeOver(now time.Duration) {
-	l.newTerm = true
+	l.doubtful = true
 	l.reports = nil
 	l.handover = 0
 	l.inherited = l.inherited[:0]
@@ -188,7 +188,7 @@
 // the time that a request which it sent may still run. The handover is a number
 // other than 0 by which InheritedDone is told from one of another term.
 func (l *Ledger) Inherit(handover time.Duration, left []time.Duration, now time.Duration) {
-	l.newTerm = true
+	l.doubtful = true
 	l.reports = nil
 	l.handover = handover
 	l.inherited = l.inherited[:0]
@@ -259,12 +259,12 @@
 }
 
 // unsure tells whether slots are still counted for the work of a keeper before
-// this one.
+// this one or for requests of unknown fate, so that reports may free them.
 func (l *Ledger) unsure(now time.Duration) bool {
 	if l.busy(now) == len(l.running) {
-		l.newTerm = false
+		l.doubtful = false
 	}
-	return l.newTerm
+	return l.doubtful
 }
 
 // busy returns how many requests are counted as being at the target.
@@ -356,6 +356,7 @@
 	case OutcomeUnknown:
 		l.failures++
 		l.failedAt = now
+		l.doubtful = true
 		l.reports = nil
 		l.handover = 0
 		l.inherited = append(l.inherited, began+l.limits.longest)
--- a/keeper/rules_test.go
+++ b/keeper/rules_test.go
@@ -276,6 +276,34 @@
 	}
 }
 
+// TestUnsure: reports are worth asking for at once while they may free slots,
+// and not for a canceled request, whose slot is free soon anyway.
+func TestUnsure(t *testing.T) {
+	tests := map[string]struct {
+		outcome keeper.Outcome
+		want    bool
+	}{
+		"ran":      {keeper.OutcomeRan, false},
+		"unknown":  {keeper.OutcomeUnknown, true},
+		"canceled": {keeper.OutcomeCanceled, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			gate := soleGate(3, func() time.Duration { return 0 })
+			if gate.Unsure() {
+				t.Error("unsure after two reports of an idle target")
+			}
+			pass, err := gate.Enter(context.Background(), second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if pass.Done(test.outcome); gate.Unsure() != test.want {
+				t.Errorf("unsure: %v, want %v", gate.Unsure(), test.want)
+			}
+		})
+	}
+}
+
 // TestNoStartTooLate lets a slot come free when the answer would be late.
 func TestNoStartTooLate(t *testing.T) {
 	l := keeper.NewLedger(keeper.NewLimits(1, 9, second))
