--- a/entry/blocks_test.go
+++ b/entry/blocks_test.go
@@ -54,6 +54,7 @@
 	e.roster.Round(context.Background())
 	heart.Round(context.Background())
 	e.relay.Follow(context.Background())
+	e.limits.update()
 	e.limits.settle()
 	zones := func(client string) [3]place.Zone {
 		t.Helper()
--- a/entry/once.go
+++ b/entry/once.go
@@ -79,7 +79,6 @@
 	if err != nil {
 		return nil, err
 	}
-	e.limits.arrive(r.service, policy)
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	e.limits.arrive(r.service, policy)
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -33,6 +33,9 @@
 	// canceledFactor times its age counts for a canceled request: its answer
 	// would have taken longer, nobody knows how much.
 	canceledFactor = 4
+	// FailuresForgotten is the time after the last failure from which on a
+	// target is tried again.
+	FailuresForgotten = 2 * time.Second
 	// waitMargin is how many times the expected wait has to fit into the time
 	// left. Without it a queue in overload is as long as the callers' patience,
 	// and most answers come just too late.
@@ -129,6 +132,7 @@
 	service   time.Duration // mean time from dispatch to answer
 	learnedAt time.Duration // when service was last learned
 	failures  int           // in a row
+	failedAt  time.Duration // the last one
 }
 
 // NewLedger makes the Ledger of a target that nobody has used.
@@ -289,8 +293,14 @@
 // Running returns how many requests of this keeper are at the target.
 func (l *Ledger) Running() int { return len(l.running) }
 
-// Failures returns how many requests in a row the target failed.
-func (l *Ledger) Failures() int { return l.failures }
+// Failures returns how many requests in a row the target failed, 0 if the last
+// one was long ago.
+func (l *Ledger) Failures(now time.Duration) int {
+	if now-l.failedAt >= FailuresForgotten {
+		return 0
+	}
+	return l.failures
+}
 
 // ServiceTime returns the mean time from dispatch to answer.
 func (l *Ledger) ServiceTime() time.Duration { return l.service }
@@ -333,8 +343,10 @@
 		l.shedAt = now
 	case OutcomeFailed:
 		l.failures++
+		l.failedAt = now
 	case OutcomeUnknown:
 		l.failures++
+		l.failedAt = now
 		l.reports = nil
 		l.handover = 0
 		l.inherited = append(l.inherited, began+l.limits.longest)
@@ -380,11 +392,11 @@
 }
 
 // Next starts the requests for which there is room, in the order in which they
-// came, and returns those whose deadline passed while they waited.
+// came, and returns those whose answer would come too late by now.
 func (l *Ledger) Next(now time.Duration) (started []Started, late []uint64) {
 	for len(l.queue) > 0 {
 		first := l.queue[0]
-		if first.deadline <= now {
+		if first.deadline <= now+l.service {
 			late = append(late, first.id)
 			l.queue = l.queue[1:]
 			continue
