--- a/suite/commands_test.go
+++ b/suite/commands_test.go
@@ -41,6 +41,7 @@
 //	executions TARGET COND                  wait until the log's length fits, as >=10
 //	mark NAME                               remember the time
 //	quiet TARGET MARK SECONDS               nothing began that long after the mark, and all ended
+//	shed TARGET COND                        how many requests the target refused, as <=3
 //	most TARGET COUNT                       no more than COUNT requests ever ran at once
 func commands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	found := map[string]func(ts *testscript.TestScript, neg bool, args []string){}
@@ -66,6 +67,7 @@
 		"executions": {executionsCommand, 2},
 		"mark":       {markCommand, 1},
 		"quiet":      {quietCommand, 3},
+		"shed":       {shedCommand, 2},
 		"most":       {mostCommand, 2},
 	} {
 		found[name] = func(ts *testscript.TestScript, neg bool, args []string) {
@@ -413,3 +415,11 @@
 	}
 	return holds(float64(log.MostRunning), "<="+args[1])
 }
+
+func shedCommand(f *fleet, _ *testscript.TestScript, args []string) error {
+	log, err := load.ReadLog(f.addresses[args[0]])
+	if err != nil {
+		return err
+	}
+	return holds(float64(log.Shed), args[1])
+}
