Test look-ups during swaps, and fuzz the heartbeats of members

Cause: no test looked up while a chunk was taken; the seeds of the frame reader's fuzz target had no heartbeat of members. Ruled out: -. Before: only a benchmark did both at once. Conclusion: none.

--- a/block/table_test.go
+++ b/block/table_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"testing"
 
+	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 
 	"github.com/endivechute/endivechute/block"
@@ -223,3 +224,38 @@
 	}
 	return set
 }
+
+// TestFindDuringTake looks up while chunks are swapped: an address always has
+// the site of one of the versions, and blocks that don't change are never gone.
+func TestFindDuringTake(t *testing.T) {
+	set := block.New()
+	value := func(site string) []byte {
+		return []byte(fmt.Sprintf(`{"form":1,"sites":[{"site":%q,"zone":"kigali/a","blocks":["10.0.0.0/24"]},`+
+			`{"site":"steady","zone":"kigali/b","blocks":["10.1.0.0/16","10.2.0.0/16","10.3.0.0/16","10.4.0.0/16","10.5.0.0/16","10.6.0.0/16","10.7.0.0/16","2001:db8::/32"]}]}`, site))
+	}
+	if err := set.Take(block.Update{Name: "c", Version: 1, Value: value("even")}); err != nil {
+		t.Fatal(err)
+	}
+	changing, steady := netip.MustParseAddr("10.0.0.9"), netip.MustParseAddr("2001:db8::9")
+	var group conc.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 20_000 {
+				if site, _ := set.Find(changing); site.Name() != "even" && site.Name() != "odd" {
+					t.Errorf("the changing block has the site %q", site.Name())
+					return
+				}
+				if site, _ := set.Find(steady); site.Name() != "steady" {
+					t.Errorf("the steady block has the site %q", site.Name())
+					return
+				}
+			}
+		})
+	}
+	for version := uint64(2); version < 300; version++ {
+		if err := set.Take(block.Update{Name: "c", Version: version, Value: value([]string{"even", "odd"}[version%2])}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	group.Wait()
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -214,7 +214,7 @@
 }
 
 func FuzzReadFrame(f *testing.F) {
-	for _, message := range []Message{&Hello{Version: 1}, &Forward{Body: []byte("x")}, &Answer{Status: 200}, &Refused{}, &Beat{}, &BeatAck{}, &Cancel{}} {
+	for _, message := range []Message{&Hello{Version: 1}, &Forward{Body: []byte("x")}, &Answer{Status: 200}, &Refused{}, &Beat{}, &BeatAck{}, &Cancel{}, &MemberBeat{Sum: &MemberSum{Members: 3}, Rumours: []MemberRumour{{Instance: "a"}}, Zones: []MemberZone{{Zone: "r/a"}}}} {
 		out, err := encode(0, 3, message)
 		if err != nil {
 			f.Fatal(err)
