--- /dev/null
+++ b/ticket/world_test.go
@@ -0,0 +1,319 @@
+package ticket_test
+
+import (
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/ticket"
+)
+
+// execution and told are the oracle's log: what targets ran, and what callers
+// heard. The oracle looks at these only.
+type execution struct {
+	key    string
+	digest ticket.Digest
+	answer string
+	began  int
+}
+
+type told struct {
+	key    string
+	digest ticket.Digest
+	answer string
+	notRun bool
+	final  bool
+	when   int
+}
+
+type job struct {
+	node        *node
+	incarnation uint64
+	key         ticket.Key
+	digest      ticket.Digest
+	began       int
+}
+
+// message waits in the network; body is one of the types below.
+type message struct {
+	to   *node
+	body any
+}
+
+type (
+	lead     struct{ copied *copied }
+	record   struct{ request *copied }
+	recorded struct {
+		request *copied
+		reply   ticket.RecordReply
+	}
+	report struct {
+		key     ticket.Key
+		outcome ticket.Outcome
+	}
+	confirmed struct{ key ticket.Key }
+	seal      struct{ copied *copied }
+	handover  struct{ body ticket.Handover }
+	handed    struct {
+		body     ticket.Handover
+		accepted bool
+	}
+	release struct{ body ticket.Release }
+)
+
+// copied is one copy of a request at an entry. stage 0 waits for the home, 1
+// for the witness, 2 for the successor, 3 is over.
+type copied struct {
+	key    ticket.Key
+	digest ticket.Digest
+	stage  int
+}
+
+type node struct {
+	world       *world
+	id          ticket.ID
+	ahead       time.Duration
+	paused      bool
+	stopping    bool
+	ledgers     map[ticket.ID]map[ticket.ID]*ticket.Ledger
+	records     map[ticket.ID]*ticket.Records
+	handovers   map[*ticket.Ledger]ticket.Handover
+	waiters     map[string][]*copied
+	held        []*copied
+	homeBudget  *ticket.Budget
+	witnessPart *ticket.Budget
+}
+
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	step     int
+	nodes    []*node
+	prefixes []ticket.Prefix
+	copies   []*copied
+	net      []message
+	jobs     []*job
+	ran      []execution
+	heard    []told
+	started  uint64
+}
+
+var limits = ticket.Limits{PrefixLife: 20 * time.Second, KeepTime: 60 * time.Second, KeysMax: 4, AnswerBytesMax: 200, BytesMax: 700}
+
+const bound = 10 * time.Second
+
+func (n *node) start() {
+	n.world.started++
+	*n = node{
+		world: n.world, ahead: n.ahead, id: ticket.NewID(n.id.Instance(), n.world.started),
+		ledgers: map[ticket.ID]map[ticket.ID]*ticket.Ledger{}, records: map[ticket.ID]*ticket.Records{},
+		handovers: map[*ticket.Ledger]ticket.Handover{}, waiters: map[string][]*copied{},
+		homeBudget: ticket.NewBudget(limits), witnessPart: ticket.NewBudget(limits),
+	}
+}
+
+// now is the time by the node's own clock.
+func (n *node) now() time.Time { return n.world.now.Add(n.ahead) }
+
+func (w *world) node(id ticket.ID) *node {
+	for _, n := range w.nodes {
+		if n.id.Instance() == id.Instance() {
+			return n
+		}
+	}
+	panic("no such instance")
+}
+
+func (w *world) send(to *node, body any) { w.net = append(w.net, message{to, body}) }
+
+// tell gives a copy its end. Only the first end of a copy counts.
+func (w *world) tell(c *copied, outcome ticket.Outcome, final bool) {
+	if c.stage == 3 {
+		return
+	}
+	c.stage = 3
+	heard := told{key: c.key.String(), digest: c.digest, answer: string(outcome.Answer()), final: final, when: w.step}
+	heard.notRun = outcome.Refusal() != nil && outcome.Refusal().Verdict() == errs.VerdictNotRun
+	w.heard = append(w.heard, heard)
+}
+
+func unknown() ticket.Outcome {
+	return ticket.Refused(errs.MayHaveRun(errs.ReasonLostHome, "unknown"))
+}
+
+func (n *node) ledger(key ticket.Key) *ticket.Ledger {
+	return n.ledgers[key.Prefix().Home()][key.Prefix().Witness()]
+}
+
+func (n *node) own(l *ticket.Ledger) {
+	if n.ledgers[l.Home()] == nil {
+		n.ledgers[l.Home()] = map[ticket.ID]*ticket.Ledger{}
+	}
+	n.ledgers[l.Home()][l.Witness()] = l
+}
+
+// take leads a copy through the ledger of this node, if it has that.
+func (n *node) take(c *copied) {
+	l := n.ledger(c.key)
+	if l == nil {
+		n.world.next(c)
+		return
+	}
+	n.follow(c, l.Arrive(n.now(), c.key, c.digest, bound))
+}
+
+func (n *node) follow(c *copied, step ticket.Step) {
+	text := c.key.String()
+	switch s := step.(type) {
+	case ticket.StepRecord:
+		n.waiters[text] = append(n.waiters[text], c)
+		n.world.send(n.world.node(c.key.Prefix().Witness()), record{c})
+	case ticket.StepRun:
+		n.waiters[text] = append(n.waiters[text], c)
+		n.world.jobs = append(n.world.jobs, &job{n, n.id.Incarnation(), c.key, c.digest, n.world.step})
+	case ticket.StepJoin:
+		n.waiters[text] = append(n.waiters[text], c)
+	case ticket.StepHold:
+		n.held = append(append(n.held, c), n.waiters[text]...)
+		delete(n.waiters, text)
+	case ticket.StepMoved:
+		n.world.next(c)
+	case ticket.StepDone:
+		n.world.tell(c, s.Outcome(), false)
+	}
+}
+
+// next is what an entry does when the home, and then the successor, is gone.
+func (w *world) next(c *copied) {
+	switch c.stage {
+	case 0:
+		c.stage = 1
+		w.send(w.node(c.key.Prefix().Witness()), seal{c})
+	case 1, 2:
+		w.tell(c, unknown(), false)
+	}
+}
+
+func (n *node) resolve(key ticket.Key, outcome ticket.Outcome) {
+	for _, c := range n.waiters[key.String()] {
+		n.world.tell(c, outcome, false)
+	}
+	delete(n.waiters, key.String())
+}
+
+func (n *node) witness(home ticket.ID) *ticket.Records {
+	if n.records[home] == nil {
+		n.records[home] = ticket.NewRecords(n.id, home, n.witnessPart)
+	}
+	return n.records[home]
+}
+
+func (n *node) receive(body any) {
+	w := n.world
+	switch m := body.(type) {
+	case lead:
+		n.take(m.copied)
+	case record:
+		key := m.request.key
+		reply := n.witness(key.Prefix().Home()).Record(n.now(), key, m.request.digest, bound)
+		w.send(w.node(key.Prefix().Home()), recorded{m.request, reply})
+	case recorded:
+		n.takeRecorded(m)
+	case report:
+		n.witness(m.key.Prefix().Home()).Report(m.key, m.outcome)
+		if l := n.ledger(m.key); l != nil {
+			if outcome, ended := l.Outcome(m.key); ended {
+				n.resolve(m.key, outcome)
+			}
+		}
+		w.send(w.node(m.key.Prefix().Home()), confirmed{m.key})
+	case confirmed:
+		if l := n.ledger(m.key); l != nil {
+			l.Reported(m.key)
+		}
+	case seal:
+		n.takeSeal(m.copied)
+	case handover:
+		n.takeHandover(m.body)
+	case handed:
+		n.takeHanded(m)
+	case release:
+		if l := n.ledgers[m.body.Home][m.body.Witness]; l != nil {
+			l.Release(m.body)
+		}
+	}
+}
+
+func (n *node) takeRecorded(m recorded) {
+	key := m.request.key
+	l := n.ledger(key)
+	if l == nil || key.Prefix().Home() != n.id {
+		return
+	}
+	step := l.Acknowledge(n.now(), key)
+	if m.reply != ticket.RecordAcknowledged {
+		step = l.Refuse(n.now(), key, errs.ReasonNoWitness, m.reply.String())
+	}
+	n.takeStep(m.request, step)
+}
+
+// takeStep follows a step that concerns every waiter of a key.
+func (n *node) takeStep(c *copied, step ticket.Step) {
+	switch s := step.(type) {
+	case ticket.StepRun:
+		n.world.jobs = append(n.world.jobs, &job{n, n.id.Incarnation(), c.key, c.digest, n.world.step})
+	case ticket.StepDone:
+		n.resolve(c.key, s.Outcome())
+	case ticket.StepHold:
+		n.held = append(n.held, n.waiters[c.key.String()]...)
+		delete(n.waiters, c.key.String())
+	}
+}
+
+func (n *node) takeSeal(c *copied) {
+	if c.stage != 1 {
+		return
+	}
+	switch s := n.witness(c.key.Prefix().Home()).Seal(n.now(), c.key, c.digest).(type) {
+	case ticket.SealNotRun:
+		n.world.tell(c, ticket.Refused(errs.NotRun(errs.ReasonLostHome, 0, "sealed")), false)
+	case ticket.SealKnown:
+		n.world.tell(c, s.Outcome(), false)
+	case ticket.SealUnknown:
+		n.world.tell(c, unknown(), s.After() == 0 && strings.Contains(s.Why(), "handed the request on"))
+	case ticket.SealActing:
+		c.stage = 2
+		n.take(c)
+	}
+}
+
+func (n *node) takeHandover(body ticket.Handover) {
+	accepted := false
+	if body.Witness == n.id && !n.stopping {
+		n.own(n.witness(body.Home).Adopt(body, n.homeBudget))
+		accepted = true
+	}
+	if body.Witness == n.id {
+		n.world.send(n.world.node(body.Home), handed{body, accepted})
+	}
+}
+
+func (n *node) takeHanded(m handed) {
+	l := n.ledgers[m.body.Home][m.body.Witness]
+	if l == nil || m.body.Home != n.id {
+		return
+	}
+	if m.accepted {
+		l.Hand()
+	}
+	if !m.accepted {
+		l.Thaw()
+	}
+	held := n.held
+	n.held = nil
+	for _, c := range held {
+		n.take(c)
+	}
+}
