--- a/entry/slope_test.go
+++ b/entry/slope_test.go
@@ -58,9 +58,13 @@
 	heart := peers.NewHeart(self, livingPeers{}, time.Now)
 	platform := fixedPlatform{objects: []store.Object{store.NewObject("teams/library/search-desk", 1, value, false)}, list: list}
 	e := New(self, nil, platform, pool, heart, time.Now, logs.Discard())
-	e.relay.Follow(context.Background())
 	e.roster.Round(context.Background())
 	heart.Round(context.Background())
+	for range 10 { // a process that is no relay reads the store after some rounds
+		if e.relay.Follow(context.Background()); e.relay.Ready() {
+			break
+		}
+	}
 	e.limits.update()
 	e.limits.settle()
 	return e
