--- a/entry/dump.go
+++ b/entry/dump.go
@@ -31,8 +31,17 @@
 	Budgets     []DumpBudget    `json:"budgets"`
 	// Blocks is the number of client blocks in force; BlocksHidden how many
 	// stand in a further chunk, where they do not count.
-	Blocks       int `json:"blocks"`
-	BlocksHidden int `json:"blocks_hidden"`
+	Blocks       int        `json:"blocks"`
+	BlocksHidden int        `json:"blocks_hidden"`
+	Region       DumpRegion `json:"region"`
+}
+
+// DumpRegion is this process's part in the limit of its region.
+type DumpRegion struct {
+	Limited  bool `json:"limited"`
+	InFlight int  `json:"in_flight"`
+	// Share is how many requests this process may have in flight.
+	Share int `json:"share"`
 }
 
 // DumpPeer is what the process knows of another entry.
@@ -97,6 +106,7 @@
 			dump.Targets = append(dump.Targets, target)
 		}
 	}
+	dump.Region.InFlight, dump.Region.Share, dump.Region.Limited = e.limits.admission.State(e.limits.clock())
 	e.budgets.each(func(service place.Service, s *budget.Service) {
 		after, _ := s.HedgeDelay()
 		dump.Budgets = append(dump.Budgets, DumpBudget{
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -31,8 +31,11 @@
 	// can be known: the wait for leases that an earlier process gave, and the
 	// reports of the targets.
 	settleTime = keeper.LeaseTime + keeper.ViewSpread + 3*keeper.BeatInterval
-	// pollRounds is the number of rounds between two load reports of a target.
-	pollRounds = 2
+	// unsettledInterval is the time between two rounds while a keeper isn't
+	// known or reports may free slots.
+	unsettledInterval = 50 * time.Millisecond
+	// reportInterval is the time between two load reports of a target.
+	reportInterval = 500 * time.Millisecond
 	// coldAfter is the age of a process from which on it takes a target that
 	// it sees for the first time for a cold one.
 	coldAfter = 10 * time.Second
@@ -74,6 +77,7 @@
 	links     links
 	meters    atomic.Pointer[map[place.Service]*meter]
 	known     atomic.Bool
+	updated   bool // the last update knew settings and instances; used by the round alone
 	woken     chan struct{}
 	heard     map[place.Instance]firstHeard // used by the round alone
 	full      sync.Map                      // place.Region -> time.Duration of the last refusal
@@ -106,49 +110,76 @@
 	return l.known.Load() || now >= settleTime && l.admission.Settled(now)
 }
 
-// settle works out whether the keepers are known for the first time.
-func (l *limits) settle() {
-	if l.known.Load() || !l.entry.informed() {
-		return
-	}
+// settle tells whether the keeper of a target isn't known at the moment, and
+// notes the first time that all are and the entry's share is in force.
+func (l *limits) settle() (unsettled bool) {
 	now := l.clock()
-	if !l.admission.Settled(now) {
-		return
-	}
+	sure := l.updated && l.admission.Settled(now)
 	for _, k := range *l.targets.Load() {
-		if _, known := l.leases.Keeper(k.resource, now); !known && k.view.Load() == nil {
-			return
-		}
-		if k.gate.Unsure() {
-			return
+		view := k.view.Load()
+		_, known := l.leases.Keeper(k.resource, now)
+		if !known && (view == nil || now-view.gained >= steer.ViewStale) {
+			unsettled = true
 		}
+		sure = sure && !k.gate.Unsure()
+	}
+	if sure && !unsettled {
+		l.known.Store(true)
 	}
-	l.known.Store(true)
+	return unsettled
 }
 
 // run keeps the leases, the reports and the shares up to date until ctx ends.
 func (l *limits) run(ctx context.Context) {
-	ticker := time.NewTicker(limitsInterval)
-	defer ticker.Stop()
-	for round := 0; ; {
+	var beaten, polled time.Duration
+	for {
 		l.update()
-		if round%int(keeper.BeatInterval/limitsInterval) == 0 {
+		now := l.clock()
+		if unsettled := l.settle(); unsettled || now >= beaten+keeper.BeatInterval {
+			beaten = now
 			l.beat(ctx)
 		}
-		l.poll(ctx, round)
+		all := now >= polled+reportInterval
+		if all {
+			polled = now
+		}
+		l.poll(ctx, all)
 		l.askViews(ctx)
-		l.settle()
-		select {
-		case <-ticker.C:
-			round++
-		case <-l.woken:
-			round = 0
-		case <-ctx.Done():
+		if !l.rest(ctx) {
 			return
 		}
 	}
 }
 
+// rest waits for the next round, which comes soon while a keeper isn't known or
+// reports may free slots.
+func (l *limits) rest(ctx context.Context) bool {
+	wait := limitsInterval
+	if l.settle() || l.unsure() {
+		wait = unsettledInterval
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// unsure tells whether reports may free slots of a target that this entry keeps.
+func (l *limits) unsure() bool {
+	for _, k := range *l.targets.Load() {
+		if k.gate.Unsure() {
+			return true
+		}
+	}
+	return false
+}
+
 // wake begins the next round at once, as after a lease was given back.
 func (l *limits) wake() {
 	select {
@@ -160,6 +191,7 @@
 // update takes in the newest list of instances and settings.
 func (l *limits) update() {
 	e := l.entry
+	informed := e.informed()
 	v := e.view.Load()
 	now := l.clock()
 	var resources []keeper.Resource
@@ -172,6 +204,7 @@
 	l.updateTargets(v, now)
 	l.updateShare(v, now)
 	l.updateMeters(now)
+	l.updated = informed
 }
 
 // members returns the listed entries of the zone, without those whose process
@@ -344,16 +377,16 @@
 	}
 }
 
-// poll reads the load reports of the targets that this entry keeps, in every
-// second round, and in each one while it may free slots.
-func (l *limits) poll(ctx context.Context, round int) {
+// poll reads the load reports of the targets that this entry keeps: of all of
+// them, or of those where it may free slots.
+func (l *limits) poll(ctx context.Context, all bool) {
 	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
 	defer cancel()
 	clients := l.entry.view.Load().clients
 	var calls conc.WaitGroup
 	for name, k := range *l.targets.Load() {
 		client := clients[name]
-		if client == nil || !k.hold.Held(l.clock()) || (round%pollRounds != 0 && !k.gate.Unsure()) {
+		if client == nil || !k.hold.Held(l.clock()) || (!all && !k.gate.Unsure()) {
 			continue
 		}
 		calls.Go(func() {
--- a/keeper/gate.go
+++ b/keeper/gate.go
@@ -274,7 +274,7 @@
 		Waiting: g.ledger.Waiting(),
 		Running: g.ledger.Running(),
 		Wait:    g.ledger.Wait(now),
-		Failing: g.ledger.Failures(),
+		Failing: g.ledger.Failures(now),
 		Leaving: g.ledger.leaving,
 		Service: g.ledger.AnswerTime(now),
 	}
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -23,16 +23,22 @@
 	// serviceTimeWeight is the weight of one answer in the mean service time:
 	// one part in so many.
 	serviceTimeWeight = 16
+	// canceledWeight is the weight of a canceled request in the mean service
+	// time: one part in so many.
+	canceledWeight = 8
 	// ServiceTimeHalfLife is the time in which a mean service time that no
-	// answer renews loses half of what it has above ServiceTimeFirst, so that a
-	// target that was slow is tried again.
+	// answer renews loses half of its weight, so that a target that was slow is
+	// tried again.
 	ServiceTimeHalfLife = 2 * time.Second
 	// CancelTime is how long a target may take to give up a request after its
 	// connection was closed.
-	CancelTime = 50 * time.Millisecond
+	CancelTime = 20 * time.Millisecond
 	// canceledFactor times its age counts for a canceled request: its answer
 	// would have taken longer, nobody knows how much.
 	canceledFactor = 4
+	// FailuresForgotten is the time after the last failure from which on a
+	// target is tried again.
+	FailuresForgotten = 2 * time.Second
 	// waitMargin is how many times the expected wait has to fit into the time
 	// left. Without it a queue in overload is as long as the callers' patience,
 	// and most answers come just too late.
@@ -129,6 +135,7 @@
 	service   time.Duration // mean time from dispatch to answer
 	learnedAt time.Duration // when service was last learned
 	failures  int           // in a row
+	failedAt  time.Duration // the last one
 }
 
 // NewLedger makes the Ledger of a target that nobody has used.
@@ -289,8 +296,14 @@
 // Running returns how many requests of this keeper are at the target.
 func (l *Ledger) Running() int { return len(l.running) }
 
-// Failures returns how many requests in a row the target failed.
-func (l *Ledger) Failures() int { return l.failures }
+// Failures returns how many requests in a row the target failed, 0 if the last
+// one was long ago.
+func (l *Ledger) Failures(now time.Duration) int {
+	if now-l.failedAt >= FailuresForgotten {
+		return 0
+	}
+	return l.failures
+}
 
 // ServiceTime returns the mean time from dispatch to answer.
 func (l *Ledger) ServiceTime() time.Duration { return l.service }
@@ -326,38 +339,40 @@
 	switch outcome {
 	case OutcomeRan:
 		l.failures = 0
-		l.learnService(now-began, now)
+		l.learnService(now-began, serviceTimeWeight, now)
 		l.restore(now)
 	case OutcomeShed:
 		l.believed = max(1, min(l.capacity(now), len(l.running)))
 		l.shedAt = now
 	case OutcomeFailed:
 		l.failures++
+		l.failedAt = now
 	case OutcomeUnknown:
 		l.failures++
+		l.failedAt = now
 		l.reports = nil
 		l.handover = 0
 		l.inherited = append(l.inherited, began+l.limits.longest)
 	case OutcomeCanceled:
-		l.learnService(max(l.service, canceledFactor*(now-began)), now)
+		l.learnService(max(l.service, canceledFactor*(now-began)), canceledWeight, now)
 		l.inherited = append(l.inherited, now+CancelTime)
 	case OutcomeUnused:
 	}
 }
 
-func (l *Ledger) learnService(took, now time.Duration) {
-	l.service += (took - l.service) / serviceTimeWeight
+func (l *Ledger) learnService(took, weight, now time.Duration) {
+	l.service += (took - l.service) / weight
 	l.learnedAt = now
 }
 
 // AnswerTime returns how long a request takes from dispatch to answer, as far
 // as old answers still count at the time now.
 func (l *Ledger) AnswerTime(now time.Duration) time.Duration {
-	above := l.service - ServiceTimeFirst
-	for age := now - l.learnedAt; age >= ServiceTimeHalfLife && above > 0; age -= ServiceTimeHalfLife {
-		above /= 2
+	service := l.service
+	for age := now - l.learnedAt; age >= ServiceTimeHalfLife && service > 0; age -= ServiceTimeHalfLife {
+		service /= 2
 	}
-	return ServiceTimeFirst + above
+	return service
 }
 
 // restore forgets a shedding once the target is believed to have all its slots.
@@ -380,11 +395,11 @@
 }
 
 // Next starts the requests for which there is room, in the order in which they
-// came, and returns those whose deadline passed while they waited.
+// came, and returns those whose answer would come too late by now.
 func (l *Ledger) Next(now time.Duration) (started []Started, late []uint64) {
 	for len(l.queue) > 0 {
 		first := l.queue[0]
-		if first.deadline <= now {
+		if first.deadline <= now+l.service {
 			late = append(late, first.id)
 			l.queue = l.queue[1:]
 			continue
