Read the platform's list only when it changed

Cause: each relay took the whole list each second and worked out its table anew: 549 KB and, by BenchmarkTable, tens of milliseconds at 4,400 entries, though the list changes about every 40 s at the target size. Ruled out: a flag in the list itself (it would be part of what is compared); a slower interval (a leaving instance has to be known within seconds). TestRosterIsSentWhenItChanged fails without the condition: the list is sent 4 times where 2 are wanted.

--- a/plat/server.go
+++ b/plat/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/etag"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -64,7 +65,7 @@
 	s.app.Delete("/v1/objects/*", s.call(KindDelete, s.remove))
 	s.app.Get("/v1/list", s.call(KindList, s.list))
 	s.app.Get("/v1/watch", s.call(KindWatch, s.watch))
-	s.app.Get("/v1/instances", s.call(KindInstances, s.instances))
+	s.app.Get("/v1/instances", etag.New(), s.call(KindInstances, s.instances))
 	s.app.Post("/control/faults", s.postFaults)
 	s.app.Post("/control/tokens", s.postTokens)
 	s.app.Post("/control/instances", s.postInstances)
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -53,12 +53,16 @@
 // Follower keeps the list of one process. Handle may be called by several
 // goroutines at once.
 type Follower struct {
-	platform  Source
-	caller    Caller
-	sources   func() Sources
-	now       func() time.Time
-	log       *logrus.Logger
-	table     atomic.Pointer[Table]
+	platform Source
+	caller   Caller
+	sources  func() Sources
+	now      func() time.Time
+	log      *logrus.Logger
+	table    atomic.Pointer[Table]
+	// lastList is the platform's newest list, and last the table of it. They
+	// are used by Round alone.
+	lastList  store.Roster
+	last      *Table
 	listeners []func(store.Roster)
 }
 
@@ -123,7 +127,12 @@
 		f.log.WithError(err).Debug("The list of instances can't be read.")
 		return false
 	}
-	f.take(New(list, begun))
+	if f.last == nil || !list.Identical(f.lastList) {
+		f.lastList = list
+		f.last = New(list, begun)
+	}
+	f.last = f.last.Confirmed(begun)
+	f.take(f.last)
 	return true
 }
 
--- a/store/client.go
+++ b/store/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,10 +41,23 @@
 	base  string
 	token string
 	http  *http.Client
+	// list is the newest list of instances, which the platform doesn't send
+	// again while it stays the same.
+	list atomic.Pointer[taggedRoster]
+}
+
+// taggedRoster is a list with the platform's tag of it.
+type taggedRoster struct {
+	tag    string
+	roster Roster
 }
 
 var _ Store = (*Client)(nil)
 
+// errNotModified: the platform sent nothing, because what it would send has
+// the tag that was named.
+var errNotModified = errors.New("not modified")
+
 // NewClient makes a client of the platform at the address "host:port". The
 // token authorises writes; it may be empty.
 func NewClient(address, token string) *Client {
@@ -114,11 +128,25 @@
 
 // Roster implements Store.
 func (c *Client) Roster(ctx context.Context) (Roster, error) {
-	var roster Roster
-	if err := c.read(ctx, "/v1/instances", rosterReplyBytesMax, &roster); err != nil {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/instances", http.NoBody)
+	if err != nil {
+		return Roster{}, errors.Wrap(err, "make a request")
+	}
+	held := c.list.Load()
+	if held != nil && held.tag != "" {
+		request.Header.Set("If-None-Match", held.tag)
+	}
+	var read taggedRoster
+	header, err := c.do(request, rosterReplyBytesMax, &read.roster)
+	if errors.Is(err, errNotModified) && held != nil {
+		return held.roster, nil
+	}
+	if err != nil {
 		return Roster{}, errors.Wrap(err, "read the list of instances")
 	}
-	return roster, nil
+	read.tag = header.Get("ETag")
+	c.list.Store(&read)
+	return read.roster, nil
 }
 
 // Put implements Store. Of its errors only ErrConflict, ErrForbidden,
@@ -142,7 +170,8 @@
 	if err != nil {
 		return errors.Wrap(err, "make a request")
 	}
-	return c.do(request, bytesMax, reply)
+	_, err = c.do(request, bytesMax, reply)
+	return err
 }
 
 func (c *Client) write(ctx context.Context, method, path string, value []byte, ifVersion uint64) (uint64, error) {
@@ -157,30 +186,31 @@
 	var reply struct {
 		Version uint64 `json:"version"`
 	}
-	if err := c.do(request, objectReplyBytesMax, &reply); err != nil {
+	if _, err := c.do(request, objectReplyBytesMax, &reply); err != nil {
 		return 0, err
 	}
 	return reply.Version, nil
 }
 
-func (c *Client) do(request *http.Request, bytesMax int64, reply any) error {
+// do sends a request, decodes the reply and returns its headers.
+func (c *Client) do(request *http.Request, bytesMax int64, reply any) (http.Header, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return transportError(err)
+		return nil, transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bytesMax))
-		return err
+		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, bytesMax+1))
 	if err != nil {
-		return errors.Wrap(err, "read the platform's reply")
+		return nil, errors.Wrap(err, "read the platform's reply")
 	}
 	if int64(len(body)) > bytesMax {
-		return errors.Newf("the platform's reply is longer than %d bytes", bytesMax)
+		return nil, errors.Newf("the platform's reply is longer than %d bytes", bytesMax)
 	}
-	return errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
+	return response.Header, errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
 }
 
 // transportError marks the failures in which no byte was sent.
@@ -196,6 +226,8 @@
 	switch status {
 	case http.StatusOK:
 		return nil
+	case http.StatusNotModified:
+		return errNotModified
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -87,3 +87,35 @@
 		})
 	}
 }
+
+// A list that did not change is not sent again, and a changed one is.
+func TestRosterIsSentWhenItChanged(t *testing.T) {
+	var sent atomic.Int64
+	names := []string{"e1", "e1", "e2", "e2"}
+	asked := 0
+	var before store.Roster
+	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		tag := `"` + names[asked] + `"`
+		asked++
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent.Add(1)
+		_, _ = io.WriteString(w, `{"entries":[{"instance":`+tag+`}]}`)
+	})
+	for i, name := range names {
+		roster, err := client.Roster(context.Background())
+		if err != nil || len(roster.Entries) != 1 || string(roster.Entries[0].Instance) != name {
+			t.Fatalf("reading %d gave %+v, %v, want %s", i, roster, err, name)
+		}
+		if same := i > 0 && names[i-1] == name; roster.Identical(before) != same {
+			t.Errorf("reading %d: identical to the one before is %v, want %v", i, !same, same)
+		}
+		before = roster
+	}
+	if sent.Load() != 2 {
+		t.Errorf("the list was sent %d times, want 2", sent.Load())
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -95,6 +95,15 @@
 	Targets []Target `json:"targets"`
 }
 
+// Identical tells whether both lists are one reading: they share their rows. A
+// Store returns the reading that it has while the platform's list stays the
+// same, so that nobody needs to compare thousands of rows.
+func (r Roster) Identical(other Roster) bool {
+	return len(r.Entries) == len(other.Entries) && len(r.Targets) == len(other.Targets) &&
+		(len(r.Entries) == 0 || &r.Entries[0] == &other.Entries[0]) &&
+		(len(r.Targets) == 0 || &r.Targets[0] == &other.Targets[0])
+}
+
 // Store is the platform as the rest of the system sees it. Every method may
 // fail or take long while the platform is down or slow; the context bounds it.
 type Store interface {
