End a shutdown with the life of the keys

Cause: when a home and its witness stop at the same time, the home may never learn whether the witness took its keys over, and it asked on until the drain timeout (30 s), though a key prefix lives 6 s. Ruled out: taking a refused connection for a no (the witness may have taken the keys before it went). Conclusion: nothing is given up: no key of such a ledger runs while it is in doubt, and none is alive afterwards.

--- a/once/once_test.go
+++ b/once/once_test.go
@@ -302,3 +302,22 @@
 	f.member("a").dead.Store(true)
 	f.expect(t, "c", prefix+".1", "answer to "+prefix+".1")
 }
+
+// TestStopEndsWithTheKeys: a home that can't learn whether its witness took the
+// handover, as when both stop at once, is needed no longer than its keys live.
+func TestStopEndsWithTheKeys(t *testing.T) {
+	f := newFleet(t)
+	f.prefix(t)
+	f.setFate(func(_, _ place.Instance, m wire.Message) fate {
+		if isKind[*wire.KeyHandover](m) {
+			f.ahead.Store(int64(time.Minute))
+			return lostReply
+		}
+		return whole
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := f.member("a").keys.Stop(ctx); err != nil || ctx.Err() != nil {
+		t.Errorf("Stop waited for keys whose life is over: %v, %v", err, ctx.Err())
+	}
+}
--- a/once/stop.go
+++ b/once/stop.go
@@ -118,7 +118,8 @@
 }
 
 // handOver gives a ledger to its witness. As long as it is unknown whether the
-// witness took it, no key of it runs here.
+// witness took it, no key of it runs here. It ends at the latest with the life
+// of the keys: the witness may stop at the same time, and then nobody answers.
 func (h *home) handOver(ctx context.Context, b *book) {
 	b.mu.Lock()
 	handover, ok := b.ledger.Freeze(h.now())
@@ -138,6 +139,9 @@
 			return
 		}
 		perhaps = true
+		if !h.alive(b) {
+			return
+		}
 		if !pause(ctx) {
 			h.log.WithField("instance", handover.Witness.Instance()).Warn("It is unknown whether the witness took the keys over.")
 			return
@@ -145,6 +149,12 @@
 	}
 }
 
+func (h *home) alive(b *book) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Alive(h.now())
+}
+
 // offer sends a handover once. Without error, the result tells whether the
 // witness took it; a witness that declined never takes it later.
 func (h *home) offer(ctx context.Context, handover ticket.Handover) (bool, error) {
