--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -25,11 +25,24 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newRoot().ParseAndRun(ctx, os.Args[1:])
+	err := run(ctx, os.Args[1:])
 	stop()
 	os.Exit(exitCode(err))
 }
 
+// run parses the arguments and the environment and runs the command. What can't
+// be parsed is a wrong setting, which the library has named by then.
+func run(ctx context.Context, args []string) error {
+	root := newRoot()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return flag.ErrHelp
+		}
+		return errors.Mark(err, setup.ErrUsage)
+	}
+	return root.Run(ctx)
+}
+
 // exitCode prints what went wrong and returns the exit code for it.
 func exitCode(err error) int {
 	switch {
--- /dev/null
+++ b/cmd/endivechute/main_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"testing"
+)
+
+// Wrong settings exit with 2 and name the setting; everything else that fails
+// exits with 1.
+func TestExitCodes(t *testing.T) {
+	tests := map[string]struct {
+		args string
+		code int
+		has  string
+	}{
+		"no command":        {"", exitUsage, ""},
+		"unknown command":   {"nonsense", exitUsage, `"nonsense"`},
+		"unknown flag":      {"entry --bogus", exitUsage, "bogus"},
+		"no duration":       {"entry --drain-timeout=abc", exitUsage, "drain-timeout"},
+		"bad zone":          {"entry --instance=a --zone=nope", exitUsage, `"nope"`},
+		"extra argument":    {"entry extra", exitUsage, `"extra"`},
+		"no address":        {"policy get --path=fleet", exitUsage, "platform-address"},
+		"no folder":         {"policy check /nonexistent", exitUsage, "/nonexistent"},
+		"bad service":       {"lookup --caller-address=127.0.0.1:1 --service=desk", exitUsage, `"desk"`},
+		"bad path":          {"send --caller-address=127.0.0.1:1 --service=a/b --path=x", exitUsage, `"x"`},
+		"nobody listens":    {"dump --operator-address=127.0.0.1:1", exitFailed, "127.0.0.1:1"},
+		"a good folder":     {"policy check ../../examples/kigali", 0, ""},
+		"the other example": {"policy check ../../examples/bonoseguro", 0, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := run(context.Background(), strings.Fields(test.args))
+			if code := exitCode(err); code != test.code {
+				t.Errorf("%q exits with %d, want %d: %v", test.args, code, test.code, err)
+			}
+			if err != nil && !strings.Contains(err.Error(), test.has) {
+				t.Errorf("%q: the error %q lacks %s", test.args, err, test.has)
+			}
+		})
+	}
+}
--- a/cmd/endivechute/manage.go
+++ b/cmd/endivechute/manage.go
@@ -175,6 +175,9 @@
 		if len(args) != 1 {
 			return errors.Mark(errors.Newf("%d folders are given; want one, such as examples/kigali", len(args)), setup.ErrUsage)
 		}
+		if folder, err := os.Stat(args[0]); err != nil || !folder.IsDir() {
+			return errors.Mark(errors.Newf("folder: %q can't be read as one; want such as examples/kigali", args[0]), setup.ErrUsage)
+		}
 		return manage.New(nil, "", os.Stdout, time.Now).PolicyCheck(os.DirFS(args[0]))
 	})
 }
