Wrap what a command returns

Cause: the linter wants errors of other modules wrapped. Ruled out: a text before it (the commands' errors name what was wrong already).

--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -40,7 +40,7 @@
 		}
 		return errors.Mark(err, setup.ErrUsage)
 	}
-	return root.Run(ctx)
+	return errors.WithStack(root.Run(ctx))
 }
 
 // exitCode prints what went wrong and returns the exit code for it.
