Split the entry's limits by concern

Ruled out: a package of its own (it needs the entry's view and pool throughout). Before: 448 lines. Conclusion: tests and linter pass as before.

--- a/entry/lease.go
+++ b/entry/lease.go
@@ -11,6 +11,32 @@
 	"github.com/endivechute/endivechute/wire"
 )
 
+// beat sends the lease beats that are due and takes in the answers.
+func (l *limits) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	var calls conc.WaitGroup
+	for _, envelope := range l.leases.Tick(l.clock()) {
+		calls.Go(func() {
+			answer, err := l.entry.pool.Call(ctx, envelope.To, beatToWire(envelope.Beat))
+			if ack, ok := answer.(*wire.LeaseAck); err == nil && ok {
+				l.leases.HandleAck(envelope.To, ackFromWire(ack), l.clock())
+			}
+		})
+	}
+	calls.Wait()
+	for _, k := range *l.targets.Load() {
+		l.takeKeeper(k)
+		k.gate.Tick()
+	}
+}
+
+// leave gives the leases up before a planned stop.
+func (l *limits) leave(ctx context.Context) {
+	l.leases.Leave(l.clock())
+	l.beat(ctx)
+}
+
 // handle answers the messages between the keepers of a zone.
 func (l *limits) handle(ctx context.Context, peer wire.Hello, message wire.Message) wire.Message {
 	switch m := message.(type) {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/endivechute/endivechute/keeper"
 	"github.com/endivechute/endivechute/place"
-	"github.com/endivechute/endivechute/shift"
 	"github.com/endivechute/endivechute/steer"
 	"github.com/endivechute/endivechute/store"
 	"github.com/endivechute/endivechute/wire"
@@ -83,15 +79,6 @@
 	full      sync.Map                      // place.Region -> time.Duration of the last refusal
 }
 
-// meter counts the arrivals of one service at this entry.
-type meter struct {
-	shift.Meter
-	follower shift.Follower // used by the round alone
-	version  uint64
-	shares   shift.Shares
-	wanted   atomic.Pointer[[]shift.Wanted]
-}
-
 func newLimits(e *Entry) *limits {
 	l := &limits{entry: e, began: e.now(), woken: make(chan struct{}, 1), heard: map[place.Instance]firstHeard{}}
 	l.leases = keeper.NewLeases(e.self.Instance, e.self.Incarnation, l.clock())
@@ -293,156 +280,3 @@
 	}
 	k.keeper.Store(&name)
 }
-
-// updateShare takes in this entry's part of its region's limit, and of the
-// links that leave the region.
-func (l *limits) updateShare(v *view, now time.Duration) {
-	e := l.entry
-	if !e.informed() {
-		return
-	}
-	fleet := e.relay.Tables().Fleet()
-	home := e.self.Zone.Region()
-	limit, limited := fleet.InFlightLimit(home)
-	var members []place.Instance
-	var regions []place.Region
-	for zone, entries := range v.zoneEntries {
-		regions = append(regions, zone.Region())
-		if zone.Region() != home {
-			continue
-		}
-		for _, listed := range entries {
-			members = append(members, listed.Instance)
-		}
-	}
-	l.admission.SetShare(steer.ShareOfLimit(limit, e.self.Instance, members), limited, now)
-	l.links.update(home, regions, fleet, len(members), now)
-}
-
-// updateMeters brings the diversions of each service one step nearer to what
-// its policy wants.
-func (l *limits) updateMeters(now time.Duration) {
-	e := l.entry
-	before := *l.meters.Load()
-	tables := e.relay.Tables()
-	services := tables.Services()
-	after := make(map[place.Service]*meter, len(services))
-	for _, service := range services {
-		policy, found := tables.Policy(service)
-		if !found {
-			continue
-		}
-		m := before[service]
-		if m == nil {
-			m = &meter{}
-		}
-		shares := shift.Shares{}
-		for _, d := range policy.Diversions() {
-			if d.From() == e.self.Zone.Region() {
-				shares[shift.Way{From: d.From(), To: d.To()}] = shift.ShareOf(d.Percent())
-			}
-		}
-		if !maps.Equal(shares, m.shares) || m.version == 0 {
-			m.version++
-			m.shares = shares
-		}
-		m.follower.Learn(shift.NewPlan(m.version, m.shares), shift.ShareOf(policy.StepPercent()), now, now)
-		wanted := make([]shift.Wanted, 0, len(shares))
-		for way, share := range m.follower.InForce(now) {
-			wanted = append(wanted, shift.NewWanted(way.To, share))
-		}
-		m.wanted.Store(&wanted)
-		after[service] = m
-	}
-	l.meters.Store(&after)
-}
-
-// beat sends the lease beats that are due and takes in the answers.
-func (l *limits) beat(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
-	defer cancel()
-	var calls conc.WaitGroup
-	for _, envelope := range l.leases.Tick(l.clock()) {
-		calls.Go(func() {
-			answer, err := l.entry.pool.Call(ctx, envelope.To, beatToWire(envelope.Beat))
-			if ack, ok := answer.(*wire.LeaseAck); err == nil && ok {
-				l.leases.HandleAck(envelope.To, ackFromWire(ack), l.clock())
-			}
-		})
-	}
-	calls.Wait()
-	for _, k := range *l.targets.Load() {
-		l.takeKeeper(k)
-		k.gate.Tick()
-	}
-}
-
-// poll reads the load reports of the targets that this entry keeps: of all of
-// them, or of those where it may free slots.
-func (l *limits) poll(ctx context.Context, all bool) {
-	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
-	defer cancel()
-	clients := l.entry.view.Load().clients
-	var calls conc.WaitGroup
-	for name, k := range *l.targets.Load() {
-		client := clients[name]
-		if client == nil || !k.hold.Held(l.clock()) || (!all && !k.gate.Unsure()) {
-			continue
-		}
-		calls.Go(func() {
-			asked := l.clock()
-			if err := client.Poll(ctx); err == nil {
-				k.gate.Report(client.LastReport().Running(), asked)
-			}
-		})
-	}
-	calls.Wait()
-}
-
-// askViews asks a few entries of the zone what they keep.
-func (l *limits) askViews(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
-	defer cancel()
-	var calls conc.WaitGroup
-	for _, member := range l.entry.pick(l.entry.view.Load().zoneEntries[l.entry.self.Zone], viewsAsked) {
-		calls.Go(func() {
-			answer, err := l.entry.pool.Call(ctx, member.Instance, &wire.KeepersAsk{})
-			if views, ok := answer.(*wire.Keepers); err == nil && ok {
-				for i := range views.Views {
-					l.learn(member.Instance, &views.Views[i])
-				}
-			}
-		})
-	}
-	calls.Wait()
-}
-
-// learn takes in what the keeper of a target tells of it.
-func (l *limits) learn(from place.Instance, told *wire.KeeperView) {
-	if told == nil {
-		return
-	}
-	k := (*l.targets.Load())[told.Target]
-	if k == nil {
-		return
-	}
-	k.view.Store(&keptView{KeeperView: *told, gained: l.clock()})
-	k.sent.Store(0)
-	k.keeper.Store(&from)
-}
-
-// tell returns what this entry knows of the target as its keeper, or nil.
-func (l *limits) tell(name place.Target) *wire.KeeperView {
-	k := (*l.targets.Load())[name]
-	if k == nil || !k.hold.Held(l.clock()) {
-		return nil
-	}
-	v := k.gate.View()
-	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds()}
-}
-
-// leave gives the leases up before a planned stop.
-func (l *limits) leave(ctx context.Context) {
-	l.leases.Leave(l.clock())
-	l.beat(ctx)
-}
--- /dev/null
+++ b/entry/shares.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/shift"
+	"github.com/endivechute/endivechute/steer"
+)
+
+// meter counts the arrivals of one service at this entry.
+type meter struct {
+	shift.Meter
+	follower shift.Follower // used by the round alone
+	version  uint64
+	shares   shift.Shares
+	wanted   atomic.Pointer[[]shift.Wanted]
+}
+
+// updateShare takes in this entry's part of its region's limit, and of the
+// links that leave the region.
+func (l *limits) updateShare(v *view, now time.Duration) {
+	e := l.entry
+	if !e.informed() {
+		return
+	}
+	fleet := e.relay.Tables().Fleet()
+	home := e.self.Zone.Region()
+	limit, limited := fleet.InFlightLimit(home)
+	var members []place.Instance
+	var regions []place.Region
+	for zone, entries := range v.zoneEntries {
+		regions = append(regions, zone.Region())
+		if zone.Region() != home {
+			continue
+		}
+		for _, listed := range entries {
+			members = append(members, listed.Instance)
+		}
+	}
+	l.admission.SetShare(steer.ShareOfLimit(limit, e.self.Instance, members), limited, now)
+	l.links.update(home, regions, fleet, len(members), now)
+}
+
+// updateMeters brings the diversions of each service one step nearer to what
+// its policy wants.
+func (l *limits) updateMeters(now time.Duration) {
+	e := l.entry
+	before := *l.meters.Load()
+	tables := e.relay.Tables()
+	services := tables.Services()
+	after := make(map[place.Service]*meter, len(services))
+	for _, service := range services {
+		policy, found := tables.Policy(service)
+		if !found {
+			continue
+		}
+		m := before[service]
+		if m == nil {
+			m = &meter{}
+		}
+		shares := shift.Shares{}
+		for _, d := range policy.Diversions() {
+			if d.From() == e.self.Zone.Region() {
+				shares[shift.Way{From: d.From(), To: d.To()}] = shift.ShareOf(d.Percent())
+			}
+		}
+		if !maps.Equal(shares, m.shares) || m.version == 0 {
+			m.version++
+			m.shares = shares
+		}
+		m.follower.Learn(shift.NewPlan(m.version, m.shares), shift.ShareOf(policy.StepPercent()), now, now)
+		wanted := make([]shift.Wanted, 0, len(shares))
+		for way, share := range m.follower.InForce(now) {
+			wanted = append(wanted, shift.NewWanted(way.To, share))
+		}
+		m.wanted.Store(&wanted)
+		after[service] = m
+	}
+	l.meters.Store(&after)
+}
--- /dev/null
+++ b/entry/views.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// poll reads the load reports of the targets that this entry keeps: of all of
+// them, or of those where it may free slots.
+func (l *limits) poll(ctx context.Context, all bool) {
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	clients := l.entry.view.Load().clients
+	var calls conc.WaitGroup
+	for name, k := range *l.targets.Load() {
+		client := clients[name]
+		if client == nil || !k.hold.Held(l.clock()) || (!all && !k.gate.Unsure()) {
+			continue
+		}
+		calls.Go(func() {
+			asked := l.clock()
+			if err := client.Poll(ctx); err == nil {
+				k.gate.Report(client.LastReport().Running(), asked)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// askViews asks a few entries of the zone what they keep.
+func (l *limits) askViews(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, limitsTimeout)
+	defer cancel()
+	var calls conc.WaitGroup
+	for _, member := range l.entry.pick(l.entry.view.Load().zoneEntries[l.entry.self.Zone], viewsAsked) {
+		calls.Go(func() {
+			answer, err := l.entry.pool.Call(ctx, member.Instance, &wire.KeepersAsk{})
+			if views, ok := answer.(*wire.Keepers); err == nil && ok {
+				for i := range views.Views {
+					l.learn(member.Instance, &views.Views[i])
+				}
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// learn takes in what the keeper of a target tells of it.
+func (l *limits) learn(from place.Instance, told *wire.KeeperView) {
+	if told == nil {
+		return
+	}
+	k := (*l.targets.Load())[told.Target]
+	if k == nil {
+		return
+	}
+	k.view.Store(&keptView{KeeperView: *told, gained: l.clock()})
+	k.sent.Store(0)
+	k.keeper.Store(&from)
+}
+
+// tell returns what this entry knows of the target as its keeper, or nil.
+func (l *limits) tell(name place.Target) *wire.KeeperView {
+	k := (*l.targets.Load())[name]
+	if k == nil || !k.hold.Held(l.clock()) {
+		return nil
+	}
+	v := k.gate.View()
+	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds()}
+}
