--- a/admin/admin.go
+++ b/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v2"
@@ -12,10 +13,20 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+// Bounds of the operators' port.
+const (
+	readTimeout  = 10 * time.Second
+	idleTimeout  = 60 * time.Second
+	bodyBytesMax = 4 << 10
+)
+
 // New makes the operators' port. dump returns the state of the process, which
 // is written as JSON; ready tells whether callers may be sent to the process.
 func New(registry *prometheus.Registry, dump func() any, ready func() bool) *fiber.App {
-	app := fiber.New(fiber.Config{AppName: "endivechute operators", DisableStartupMessage: true})
+	app := fiber.New(fiber.Config{
+		AppName: "endivechute operators", DisableStartupMessage: true,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, BodyLimit: bodyBytesMax,
+	})
 	app.Get("/dump", func(c *fiber.Ctx) error {
 		return errors.Wrap(c.JSON(dump()), "write the dump")
 	})
