Write client blocks by a command of their own

Cause: no command wrote blocks/, and policy set put a chunk in an envelope, reported it as accepted, and every entry refused it: a report that was not true. Ruled out: an envelope for chunks (its bytes travel to every entry); passing the paths through policy set by their kind (a chunk has no fields to diff or edit). Before: TestPolicySetWritesNoBlocks: PolicySet of a chunk gave outcome 1, which is accepted. After: it is refused with the command to use; blocks set checks the chunk, writes it under the condition of its version and settles a lost reply by what the store holds (TestBlocksSet). Tried by hand with the stand-in: written, a bad one refused, deleted. Conclusion: one command for one chunk; cutting a whole table into chunks is left to who makes it.

--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -69,6 +69,7 @@
 			newSendCommand(),
 			newDumpCommand(),
 			newPolicyCommand(),
+			newBlocksCommand(),
 			newDrainCommand(),
 			newStatusCommand(),
 			newReadyCommand(),
--- a/cmd/endivechute/manage.go
+++ b/cmd/endivechute/manage.go
@@ -121,6 +121,33 @@
 	})
 }
 
+func newBlocksCommand() *ffcli.Command {
+	f := newOperatorFlags("blocks set", true).withVersion()
+	chunk := f.flags.String("chunk", "", "name of the chunk, such as chunk-17; keep chunks at about 200 blocks")
+	file := f.flags.String("file", "-", "file with the chunk; - is the standard input")
+	set := command("blocks set", "--platform-address IP:port --author NAME --chunk NAME --file FILE --if-version N", "replace one chunk of client blocks", f.flags, func(ctx context.Context, args []string) error {
+		if err := noArgs(args); err != nil {
+			return err
+		}
+		return f.run(func(o *manage.Operator) error {
+			value, err := readFile(*file)
+			if err != nil {
+				return err
+			}
+			return done(o.BlocksSet(ctx, *chunk, value, *f.version))
+		})
+	})
+	set.Name = "set"
+	return &ffcli.Command{
+		Name:        "blocks",
+		ShortUsage:  "endivechute blocks set [flags]",
+		ShortHelp:   "write the table of client blocks",
+		FlagSet:     flag.NewFlagSet("endivechute blocks", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{set},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
 func readFile(name string) ([]byte, error) {
 	if name == "-" {
 		text, err := io.ReadAll(io.LimitReader(os.Stdin, store.ValueBytesMax+1))
--- /dev/null
+++ b/manage/blocks.go
@@ -0,0 +1,105 @@
+package manage
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/block"
+	"github.com/endivechute/endivechute/config"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/store"
+)
+
+// errNoSettings is the error for a path whose object is no settings.
+func errNoSettings(path string) error {
+	if strings.HasPrefix(path, config.PrefixBlocks) {
+		return errors.Newf("path %q: client blocks are no settings; write them with `endivechute blocks set`", path)
+	}
+	return errors.Newf("path %q: the system writes these objects itself; nothing was written", path)
+}
+
+// BlocksSet replaces one chunk of client blocks if its version is still
+// ifVersion (0: there is none yet), and prints the report. The value is in the
+// form that block.ParseChunk reads. A chunk has no envelope, so a lost reply is
+// settled by what the store holds. A command `blocks set --chunk NAME --file
+// FILE --if-version N`.
+func (o *Operator) BlocksSet(ctx context.Context, chunk string, value []byte, ifVersion uint64) (Report, error) {
+	if err := place.CheckName("chunk", chunk); err != nil {
+		return Report{}, err
+	}
+	report := Report{path: config.PrefixBlocks + chunk}
+	if _, err := block.ParseChunk(value); err != nil {
+		return o.tell(refused(report, err))
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.settle)
+	defer cancel()
+	return o.tell(o.putBlocks(ctx, report, value, ifVersion))
+}
+
+// putBlocks writes until the fate of the chunk is known.
+func (o *Operator) putBlocks(ctx context.Context, report Report, value []byte, ifVersion uint64) Report {
+	lost := false
+	for {
+		held, err := o.readChunk(ctx, report.path)
+		if err == nil && (held.Version() != ifVersion || bytes.Equal(held.Value(), value)) {
+			return judgeBlocks(report, held, value, ifVersion, lost)
+		}
+		if err == nil {
+			report.version, err = o.putChunk(ctx, report.path, value, ifVersion)
+		}
+		switch {
+		case err == nil:
+			report.outcome = OutcomeAccepted
+			report.text = fmt.Sprintf("accepted: %s is at version %d\n", report.path, report.version)
+			return report
+		case store.NotWritten(err) && !errors.Is(err, store.ErrConflict) && !lost:
+			return refused(report, err)
+		}
+		lost = lost || !errors.Is(err, store.ErrConflict)
+		if !wait(ctx, o.pause) {
+			report.text = fmt.Sprintf("unknown: the store did not say whether %s was written; when it answers again, give the command again\n", report.path)
+			return report
+		}
+	}
+}
+
+func (o *Operator) readChunk(ctx context.Context, path string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	held, err := o.store.Get(ctx, path)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.NewObject(path, 0, nil, false), nil
+	}
+	return held, err
+}
+
+func (o *Operator) putChunk(ctx context.Context, path string, value []byte, ifVersion uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return o.store.Put(ctx, path, value, ifVersion)
+}
+
+// judgeBlocks tells what became of a chunk that the store holds at another
+// version, or with the wanted value.
+func judgeBlocks(report Report, held store.Object, value []byte, ifVersion uint64, lost bool) Report {
+	report.version = held.Version()
+	same := bytes.Equal(held.Value(), value)
+	switch {
+	case same && held.Version() != ifVersion && lost:
+		report.outcome = OutcomeAccepted
+		report.text = fmt.Sprintf("accepted: %s holds what was given, in version %d (a reply was lost)\n", report.path, held.Version())
+	case same:
+		report.outcome = OutcomeUnchanged
+		report.text = fmt.Sprintf("unchanged: %s holds what was given already, in version %d\n", report.path, held.Version())
+	case lost:
+		report.text = fmt.Sprintf("unknown: a reply was lost, and %s has another value in version %d since\n", report.path, held.Version())
+	default:
+		report.outcome = OutcomeConflict
+		report.text = fmt.Sprintf("conflict: %s is at version %d, not at %d; nothing was written\n", report.path, held.Version(), ifVersion)
+	}
+	return report
+}
--- a/manage/policy.go
+++ b/manage/policy.go
@@ -52,7 +52,7 @@
 // set PATH --file FILE --if-version N`. Lines of body that begin with "#" are
 // passed over, so that what PolicyGet printed can be edited and given back.
 func (o *Operator) PolicySet(ctx context.Context, path string, body []byte, ifVersion uint64) (Report, error) {
-	if err := o.checkPath(path); err != nil {
+	if err := o.checkSettings(path); err != nil {
 		return Report{}, err
 	}
 	found, err := o.read(ctx, path)
@@ -113,7 +113,7 @@
 
 // edit reads the settings, lets change alter the decoded object and writes it.
 func (o *Operator) edit(ctx context.Context, path string, change func(map[string]any) error) (Report, error) {
-	if err := o.checkPath(path); err != nil {
+	if err := o.checkSettings(path); err != nil {
 		return Report{}, err
 	}
 	found, err := o.read(ctx, path)
--- a/manage/write.go
+++ b/manage/write.go
@@ -126,6 +126,14 @@
 	return &other
 }
 
+// checkSettings tells whether the path is that of settings that may be changed.
+func (o *Operator) checkSettings(path string) error {
+	if kind, err := config.KindOf(path); err == nil && kind == config.KindOther {
+		return errNoSettings(path)
+	}
+	return o.checkPath(path)
+}
+
 // checkPath tells whether the path exists in the tree and may be changed.
 func (o *Operator) checkPath(path string) error {
 	if _, err := config.KindOf(path); err != nil {
