Pause in one place, and admit a request in one place

Cause: the same pause stood in entry, once, manage, relay and load, and the same steps of admitting a request three times in entry. Ruled out: sharing the loops around them (they end for different reasons). Before: five pauses, three admissions.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -102,15 +101,3 @@
 	}
 	return roster.NewSources(slices.Contains(relays, e.self.Instance), near, far)
 }
-
-// pause waits and tells whether ctx still goes on.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivechute/endivechute/peers"
+	"github.com/endivechute/endivechute/wait"
 )
 
 // leavePoll is the time between two looks at what is still in flight.
@@ -18,14 +19,14 @@
 	e.heart.Leave()
 	e.limits.leave(ctx)
 	e.log.Info("The shutdown begins.")
-	if !pause(ctx, LookupTTL+2*peers.BeatInterval) {
+	if !wait.For(ctx, LookupTTL+2*peers.BeatInterval) {
 		return
 	}
 	if err := e.once.Stop(ctx); err != nil {
 		e.log.WithError(err).Warn("The keys were not handed over in time.")
 	}
 	for e.inFlight.Load() > 0 {
-		if !pause(ctx, leavePoll) {
+		if !wait.For(ctx, leavePoll) {
 			e.log.WithField("in_flight", e.inFlight.Load()).Warn("The shutdown ran out of time.")
 			return
 		}
--- a/entry/once.go
+++ b/entry/once.go
@@ -15,6 +15,7 @@
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/ticket"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -75,14 +76,10 @@
 	defer e.inFlight.Add(-1)
 	r := requestFromWire(forward, e.now())
 	r.hops = 0
-	policy, err := e.admit(r)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
-	e.limits.arrive(r.service, policy)
-	return e.route(ctx, e.view.Load(), policy, r)
+	return e.admitted(ctx, r, func(ctx context.Context, policy *config.Policy) (*wire.Answer, error) {
+		e.limits.arrive(r.service, policy)
+		return e.route(ctx, e.view.Load(), policy, r)
+	})
 }
 
 // chooseWitnesses keeps the witness of new key prefixes up to date until ctx
@@ -90,7 +87,7 @@
 func (e *Entry) chooseWitnesses(ctx context.Context) {
 	for {
 		e.chooseWitness()
-		if !pause(ctx, witnessInterval) {
+		if !wait.For(ctx, witnessInterval) {
 			return
 		}
 	}
--- a/entry/route.go
+++ b/entry/route.go
@@ -37,18 +37,24 @@
 	if r.key != "" {
 		return e.serveOnce(ctx, r)
 	}
-	v := e.view.Load()
+	return e.admitted(ctx, r, func(ctx context.Context, policy *config.Policy) (*wire.Answer, error) {
+		e.limits.arrive(r.service, policy)
+		if policy.NonIdempotent(r.method, r.plainPath()) {
+			return nil, e.keyMissing(r)
+		}
+		return e.route(ctx, e.view.Load(), policy, r)
+	})
+}
+
+// admitted admits a request and serves it within its deadline.
+func (e *Entry) admitted(ctx context.Context, r *Request, serve func(ctx context.Context, policy *config.Policy) (*wire.Answer, error)) (*wire.Answer, error) {
 	policy, err := e.admit(r)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	e.limits.arrive(r.service, policy)
-	if policy.NonIdempotent(r.method, r.plainPath()) {
-		return nil, e.keyMissing(r)
-	}
-	return e.route(ctx, v, policy, r)
+	return serve(ctx, policy)
 }
 
 // admit checks a request and gives it the deadline of its service's policy if
@@ -193,15 +199,11 @@
 }
 
 func (e *Entry) serveForward(ctx context.Context, f *wire.Forward, r *Request) (*wire.Answer, error) {
-	v := e.view.Load()
-	policy, err := e.admit(r)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
-	if f.Scope == wire.ScopeTarget {
-		return e.sendKept(ctx, v, policy, r, f.Target)
-	}
-	return e.route(ctx, v, policy, r)
+	return e.admitted(ctx, r, func(ctx context.Context, policy *config.Policy) (*wire.Answer, error) {
+		v := e.view.Load()
+		if f.Scope == wire.ScopeTarget {
+			return e.sendKept(ctx, v, policy, r, f.Target)
+		}
+		return e.route(ctx, v, policy, r)
+	})
 }
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -15,6 +15,7 @@
 	"github.com/endivechute/endivechute/shift"
 	"github.com/endivechute/endivechute/steer"
 	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -60,7 +61,7 @@
 	planned := steer.Planned(credit, regions, zones)
 	for {
 		answer, err := e.routeOnce(ctx, v, policy, r, credit, planned, zones)
-		if err == nil || !e.worthAPause(r, err) || !pause(ctx, keeperPause) {
+		if err == nil || !e.worthAPause(r, err) || !wait.For(ctx, keeperPause) {
 			return answer, err
 		}
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/wait"
 )
 
 const (
@@ -121,16 +122,9 @@
 }
 
 func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
+	left := time.Until(due)
+	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, left)
 }
--- a/manage/blocks.go
+++ b/manage/blocks.go
@@ -12,6 +12,7 @@
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wait"
 )
 
 // errNoSettings is the error for a path whose object is no settings.
@@ -60,7 +61,7 @@
 			return refused(report, err)
 		}
 		lost = lost || !errors.Is(err, store.ErrConflict)
-		if !wait(ctx, o.pause) {
+		if !wait.For(ctx, o.pause) {
 			report.text = fmt.Sprintf("unknown: the store did not say whether %s was written; when it answers again, give the command again\n", report.path)
 			return report
 		}
--- a/manage/delete.go
+++ b/manage/delete.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wait"
 )
 
 // PolicyDelete deletes the settings at a path if their version is still
@@ -51,7 +52,7 @@
 		if now, err := o.read(ctx, before.path); err == nil && now.version != before.version {
 			return judgeDeletion(report, before, now, lost)
 		}
-		if !wait(ctx, o.pause) {
+		if !wait.For(ctx, o.pause) {
 			return unreadDeletion(report, before, lost)
 		}
 	}
--- a/manage/write.go
+++ b/manage/write.go
@@ -18,6 +18,7 @@
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wait"
 )
 
 // Times of a write.
@@ -237,7 +238,7 @@
 		if now, err := o.read(ctx, before.path); err == nil && now.version != before.version {
 			return o.judge(report, before, now, lost, lines)
 		}
-		if !wait(ctx, o.pause) {
+		if !wait.For(ctx, o.pause) {
 			return unknown(report, before)
 		}
 	}
@@ -257,7 +258,7 @@
 		if err == nil {
 			return o.judge(report, before, now, lost, lines)
 		}
-		if !wait(ctx, o.pause) {
+		if !wait.For(ctx, o.pause) {
 			break
 		}
 	}
@@ -362,14 +363,3 @@
 	}
 	return text
 }
-
-// wait pauses and tells whether ctx still goes on.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
-}
--- a/once/home.go
+++ b/once/home.go
@@ -16,6 +16,7 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/ticket"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -211,7 +212,7 @@
 	ctx, cancel := context.WithTimeout(ctx, RecordTimeout)
 	defer cancel()
 	reply, why := h.askRecord(ctx, r, bound)
-	for reply == ticket.RecordMoved && !b.alone() && pause(ctx) {
+	for reply == ticket.RecordMoved && !b.alone() && wait.For(ctx, stopPoll) {
 		reply, why = h.askRecord(ctx, r, bound)
 	}
 	b.mu.Lock()
--- a/once/stop.go
+++ b/once/stop.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/ticket"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -54,7 +55,7 @@
 	}
 	tasks.Wait()
 	for !k.idle(ctx) {
-		if !pause(ctx) {
+		if !wait.For(ctx, stopPoll) {
 			return errors.Wrap(ctx.Err(), "keys are still in use")
 		}
 	}
@@ -74,7 +75,7 @@
 		if taken, ok := reply.(*wire.KeyTaken); err == nil && ok && taken.Taken {
 			return
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, stopPoll) {
 			k.log.WithField("instance", message.Home.Instance()).Warn("A home did not confirm that its witness stops.")
 			return
 		}
@@ -142,7 +143,7 @@
 		if !h.alive(b) {
 			return
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, stopPoll) {
 			h.log.WithField("instance", handover.Witness.Instance()).Warn("It is unknown whether the witness took the keys over.")
 			return
 		}
@@ -180,18 +181,6 @@
 	b.changed = make(chan struct{})
 }
 
-// pause waits a moment and tells whether ctx still goes on.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(stopPoll)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Dump is the state of the keys, for operators.
 type Dump struct {
 	Witness      string `json:"witness"`
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -196,14 +197,14 @@
 }
 
 func (r *Relay) runFollow(ctx context.Context) {
-	for pause(ctx, r.Follow(ctx), nil) {
+	for wait.For(ctx, r.Follow(ctx)) {
 	}
 }
 
 func (r *Relay) runRounds(ctx context.Context) {
 	for {
 		r.Round(ctx)
-		if !pause(ctx, RoundPause, nil) || !pause(ctx, r.jitter(RoundInterval-RoundPause), r.wake) {
+		if !wait.For(ctx, RoundPause) || !wait.Woken(ctx, r.jitter(RoundInterval-RoundPause), r.wake) {
 			return
 		}
 	}
@@ -278,16 +279,3 @@
 func (r *Relay) jitter(wait time.Duration) time.Duration {
 	return wait - time.Duration(r.below(int(wait/2)+1))
 }
-
-// pause waits and tells whether ctx still goes on. A value from wake ends the
-// wait early.
-func pause(ctx context.Context, wait time.Duration, wake <-chan struct{}) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-wake:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
-}
