Never drop a Cancel by chance, and cancel in the test what has begun

Cause: a run of every test hung in TestCancel: the call was cancelled before its goroutine had sent it, and the test then waited for an end that never came. Seen beside it: a send whose context ends while the queue has room chose between the two at random, so that a Cancel could be dropped. Ruled out: a time limit in the test. Conclusion: room in the queue comes first.

--- a/wire/sender.go
+++ b/wire/sender.go
@@ -39,6 +39,13 @@
 		return errors.Mark(errors.Wrap(ErrClosed, "send"), ErrNotSent)
 	default:
 	}
+	// Room in the queue counts for more than a context that has just ended:
+	// otherwise a Cancel might be dropped by chance.
+	select {
+	case s.queue <- out:
+		return nil
+	default:
+	}
 	select {
 	case s.queue <- out:
 		return nil
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -81,9 +81,10 @@
 // A slow call must not hold up the others, and a cancelled one must end at the
 // other side too.
 func TestCancel(t *testing.T) {
-	ended := make(chan struct{})
+	began, ended := make(chan struct{}), make(chan struct{})
 	client := pair(t, func(ctx context.Context, _ Hello, message Message) Message {
 		if _, slow := message.(*Forward); slow {
+			close(began)
 			<-ctx.Done()
 			close(ended)
 			return nil
@@ -99,6 +100,7 @@
 	if _, err := client.Call(context.Background(), &Beat{}); err != nil {
 		t.Fatal(err)
 	}
+	<-began
 	cancel()
 	if err := <-failed; !errors.Is(err, context.Canceled) || errors.Is(err, ErrNotSent) {
 		t.Errorf("the cancelled call gave %v", err)
