Remove the name of a link's keeper, which nothing uses

Cause: links are kept by equal parts of each entry (entry/links.go), so that the resource for a keeper of a link had no caller, not even in a test. Ruled out: keeping it for later; the way weighed stands in docs/LIMITS.md. Before: one unused function. After: none; keeper's tests and the linter pass. Conclusion: behaviour is as it was.

--- a/keeper/order.go
+++ b/keeper/order.go
@@ -28,12 +28,6 @@
 // TargetResource returns the resource of the slots of a target.
 func TargetResource(target place.Target) Resource { return Resource("target/" + target) }
 
-// LinkResource returns the resource of an availability zone's share of the link
-// to a region.
-func LinkResource(zone place.Zone, to place.Region) Resource {
-	return Resource("link/" + string(zone) + "/" + string(to))
-}
-
 // Order returns the members in the rendezvous order of the resource. When a
 // member joins or leaves, the others keep their order.
 func Order(resource Resource, members []place.Instance) []place.Instance {
