--- /dev/null
+++ b/cmd/endivechute/front.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/endivechute/endivechute/front"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/setup"
+)
+
+// memoryShare is the part of the instance's memory that the runtime may fill
+// before it collects garbage at any price.
+const memoryShare = 0.7
+
+func newFrontCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("endivechute front", flag.ContinueOnError)
+	path := flags.String("platform-settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	metrics := flags.String("metrics-port", "", "port of the metrics at the instance's IP number, none if empty")
+	level := flags.String("log-level", "info", "debug, info, warn or error")
+	format := flags.String("log-format", "json", "text or json")
+	return command("front", "[flags]", "run an instance on the users' platform", flags, func(ctx context.Context, args []string) error {
+		if err := noArgs(args); err != nil {
+			return err
+		}
+		logger, err := logs.New(os.Stdout, *level, *format)
+		if err != nil {
+			return errors.Mark(err, setup.ErrUsage)
+		}
+		settings, err := platform.LoadSettings(*path)
+		if err != nil {
+			return errors.Mark(err, setup.ErrUsage)
+		}
+		if settings.MemoryBytes() > 0 {
+			debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
+		}
+		return front.New(settings, *metrics, time.Now, logger).Run(ctx)
+	})
+}
--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -65,6 +65,7 @@
 		FlagSet:    flag.NewFlagSet("endivechute", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			newEntryCommand(),
+			newFrontCommand(),
 			newLookupCommand(),
 			newSendCommand(),
 			newDumpCommand(),
--- a/config/policy.go
+++ b/config/policy.go
@@ -51,6 +51,9 @@
 	header string
 }
 
+// NewRefused makes a Refused. A status of 0 stands for any.
+func NewRefused(status int, header string) Refused { return Refused{status: status, header: header} }
+
 // Status returns the HTTP status of the answer.
 func (r Refused) Status() int { return r.status }
 
--- /dev/null
+++ b/front/probe.go
@@ -0,0 +1,55 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/wait"
+)
+
+const (
+	// probeInterval is how often the process looks for targets to probe.
+	probeInterval = 100 * time.Millisecond
+	// probeTimeout bounds a probe.
+	probeTimeout = time.Second
+)
+
+// runProbes asks targets that could not be reached whether they are well again.
+func (s *Server) runProbes(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for wait.For(ctx, probeInterval) {
+		for _, m := range s.chooser.Probes(s.feed.View(), s.now()) {
+			tasks.Go(func() { s.probe(ctx, m) })
+		}
+	}
+}
+
+func (s *Server) probe(ctx context.Context, m *fleet.Member) {
+	table := s.feed.Table()
+	if table == nil {
+		return
+	}
+	service, found := table.Service(m.Service())
+	if !found {
+		return
+	}
+	answer, err := s.client(m).Do(ctx, platform.NewProbe(service.HealthPath(), s.now().Add(probeTimeout)))
+	health := platform.ReadHealth(answer)
+	healthy := err == nil && health.Healthy() && health.Target() == m.Target()
+	outcome := "unwell"
+	if healthy {
+		outcome = "well"
+		if health.Cold() > 0 {
+			s.feed.Chill(m.Target(), health.Cold())
+		}
+	}
+	s.stats.probes.WithLabelValues(outcome).Inc()
+	s.chooser.Probed(m, healthy, s.now())
+	s.log.WithFields(logrus.Fields{"target": m.Target(), "healthy": healthy, "cold": health.Cold(), "error": err}).Info("A target was probed.")
+}
--- /dev/null
+++ b/front/stats.go
@@ -0,0 +1,57 @@
+package front
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// stats are the metrics of a process.
+type stats struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+	callTime prometheus.Histogram
+	lookups  prometheus.Counter
+	probes   *prometheus.CounterVec
+}
+
+// latencyBuckets cover the time-outs that routes have, in seconds.
+var latencyBuckets = []float64{.01, .025, .05, .1, .2, .3, .5, .75, 1, 1.5, 2, 3, 5, 8, 12}
+
+func newStats() *stats {
+	s := &stats{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivechute_requests_total", Help: "Requests of clients by what was answered.",
+		}, []string{"answer", "reason"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivechute_sends_total", Help: "Requests handed to targets by what became of them.",
+		}, []string{"outcome", "distance"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "endivechute_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
+		}, []string{"answer"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivechute_store_calls_total", Help: "Calls to the platform's store by outcome.",
+		}, []string{"outcome"}),
+		callTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "endivechute_store_call_seconds", Help: "Time of the calls to the platform's store, waiting watches included.",
+			Buckets: []float64{.005, .01, .05, .1, .5, 1, 2, 5, 10, 30},
+		}),
+		lookups: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "endivechute_lookups_total", Help: "Look-ups that were answered.",
+		}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivechute_probes_total", Help: "Probes of targets that could not be reached, by what they showed.",
+		}, []string{"outcome"}),
+	}
+	s.registry.MustRegister(s.requests, s.sends, s.latency, s.calls, s.callTime, s.lookups, s.probes)
+	return s
+}
+
+func (s *stats) call(outcome string, took time.Duration) {
+	s.calls.WithLabelValues(outcome).Inc()
+	s.callTime.Observe(took.Seconds())
+}
--- /dev/null
+++ b/peers/mates.go
@@ -0,0 +1,142 @@
+package peers
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// sharerTime is how long an instance of the zone that is not heard still counts
+// as one that may send requests: it may be alive behind a cut, or starting.
+const sharerTime = 10 * time.Second
+
+// Mates are the registered instances and, for those of this availability zone,
+// what their heartbeats tell. They are safe for use by several goroutines.
+type Mates struct {
+	self  wire.Hello
+	pool  *Pool
+	heart *Heart
+	now   func() time.Time
+
+	mu        sync.Mutex
+	instances map[place.Instance]mate
+}
+
+type mate struct {
+	instance platform.Instance
+	known    time.Time
+}
+
+// NewMates makes Mates without instances.
+func NewMates(self wire.Hello, pool *Pool, heart *Heart, now func() time.Time) *Mates {
+	return &Mates{self: self, pool: pool, heart: heart, now: now, instances: map[place.Instance]mate{}}
+}
+
+// Call sends a message to an instance and waits for its answer.
+func (m *Mates) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	return m.pool.Call(ctx, instance, message)
+}
+
+// Learn takes in the instances that are registered at the platform.
+func (m *Mates) Learn(instances []platform.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.instances
+	m.instances = make(map[place.Instance]mate, len(instances))
+	addresses := make(map[place.Instance]string, len(instances))
+	var zone []place.Instance
+	for _, i := range instances {
+		if i.Name() == m.self.Instance {
+			continue
+		}
+		known := m.now()
+		if held, found := before[i.Name()]; found {
+			known = held.known
+		}
+		m.instances[i.Name()] = mate{instance: i, known: known}
+		addresses[i.Name()] = i.Peers()
+		if i.Zone() == m.self.Zone {
+			zone = append(zone, i.Name())
+		}
+	}
+	m.pool.SetAddresses(addresses)
+	m.heart.SetPeers(zone)
+}
+
+// Live returns the instances of this availability zone that are heard and don't
+// leave, this one among them unless it leaves itself, in the order of their
+// names.
+func (m *Mates) Live() []place.Instance {
+	live := m.zone(func(name place.Instance, _ mate) bool { return m.serving(name) })
+	if !m.heart.leaving.Load() {
+		live = append(live, m.self.Instance)
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (m *Mates) serving(name place.Instance) bool {
+	h := m.heart.Health(name)
+	return h.Reachable(m.now()) && !h.Leaving() && !h.Refused()
+}
+
+// Sharers returns the instances of this availability zone that may send
+// requests, this one among them: more rather than less.
+func (m *Mates) Sharers() []place.Instance {
+	now := m.now()
+	sharers := m.zone(func(name place.Instance, known mate) bool {
+		heard := m.heart.Health(name).heard
+		return now.Sub(heard) < sharerTime || now.Sub(known.known) < sharerTime
+	})
+	return append(sharers, m.self.Instance)
+}
+
+// Addresses returns where clients reach the live instances of this availability
+// zone, without this one.
+func (m *Mates) Addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for name, known := range m.instances {
+		if known.instance.Zone() == m.self.Zone && m.serving(name) {
+			addresses = append(addresses, known.instance.Clients())
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Others returns the known instances of other availability zones.
+func (m *Mates) Others() []place.Instance {
+	return m.names(func(_ place.Instance, known mate) bool { return known.instance.Zone() != m.self.Zone })
+}
+
+// Size returns how many instances are registered, this one among them.
+func (m *Mates) Size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.instances) + 1
+}
+
+func (m *Mates) zone(want func(place.Instance, mate) bool) []place.Instance {
+	return m.names(func(name place.Instance, known mate) bool {
+		return known.instance.Zone() == m.self.Zone && want(name, known)
+	})
+}
+
+func (m *Mates) names(want func(place.Instance, mate) bool) []place.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []place.Instance
+	for name, known := range m.instances {
+		if want(name, known) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/socket"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -22,9 +23,8 @@
 
 // DialTCP opens a TCP connection.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	return conn, errors.Wrapf(err, "connect to the peer at %s", address)
+	conn, err := socket.Dial(ctx, address, DialTimeout)
+	return conn, errors.Wrap(err, "connect to a peer")
 }
 
 // Pool keeps one connection to each peer that is called. It opens a connection
--- /dev/null
+++ b/pick/score.go
@@ -0,0 +1,141 @@
+// Package pick chooses the target of a request: the one that is expected to
+// answer first, where a target that knows the request's object answers several
+// times faster. All entries prefer the same target for an object, by rendezvous
+// hash, so that its knowledge is used without a word between them; a target
+// that is full, slow or failing loses its objects to the next in order.
+//
+// The score is a pure function of what is known of the candidates. Around it
+// stands what an entry learns from answers. There is no input or output; the
+// time is passed in.
+package pick
+
+import (
+	"time"
+
+	"github.com/endivechute/endivechute/fleet"
+)
+
+// Distance is how far a target is from this entry.
+type Distance uint8
+
+// The distances.
+const (
+	// SameZone: in this entry's availability zone.
+	SameZone Distance = iota
+	// SameRegion: in another availability zone of the region.
+	SameRegion
+	// OtherRegion: in another region.
+	OtherRegion
+)
+
+// Candidate is what is known of one target that may get a request.
+type Candidate struct {
+	Member   *fleet.Member
+	Distance Distance
+	// Rank is the position in the rendezvous order of the request's object
+	// among the targets of the same availability zone, 0 for the first.
+	Rank int
+	// Familiar tells that the target has handled the object of late.
+	Familiar bool
+	// Load is how many requests run or wait at the target.
+	Load float64
+	// Slow is how many times longer than others the target takes.
+	Slow float64
+	// Fails is the share of requests that the target has failed of late.
+	Fails float64
+	// Trip is the time of a packet to the target and back.
+	Trip time.Duration
+	// Cold tells that the target has just started.
+	Cold bool
+	// Suspect tells that the target could not be reached.
+	Suspect bool
+}
+
+// Work is how long the targets of a service work on a request.
+type Work struct {
+	// Hit is the time where the target knows the object, Miss where it doesn't.
+	Hit, Miss time.Duration
+}
+
+// The weights of the score, as parts of the work of a service.
+const (
+	// crowdCost is what a target with no free slot adds beside the wait: what
+	// is known of its load is late, and others may be sending too.
+	crowdCost = 0.25
+	// failCost is what a target that fails every request adds.
+	failCost = 4.0
+	// zoneCost and regionCost are for the bytes that leave the zone or region,
+	// beside the time that they take.
+	zoneCost   = 0.10
+	regionCost = 0.25
+	// coldSlow is by how much a cold target is expected to be slower.
+	coldSlow = 2.0
+	// firstKnows is the part of the requests for which the first in order is
+	// presumed to know the object, though this entry has not sent it there.
+	firstKnows = 0.6
+	// rankCost is what each place in the rendezvous order adds, so that entries
+	// agree on the order of targets that know nothing of the object.
+	rankCost = 0.05
+)
+
+// Estimate is what is expected of a request at a target.
+type Estimate struct {
+	// Wait is the time until the target begins with the request.
+	Wait time.Duration
+	// Total is the time until the answer.
+	Total time.Duration
+	// usual is Total for a target of the usual speed.
+	usual time.Duration
+	// cost is Total and what speaks against the target beside time.
+	cost time.Duration
+}
+
+// Expect returns what is expected of a request at the candidate.
+func Expect(c Candidate, w Work) Estimate {
+	mean := float64(w.Hit+w.Miss) / 2
+	slots := float64(max(c.Member.Slots(), 1))
+	work := float64(w.Miss)
+	switch {
+	case c.Familiar:
+		work = float64(w.Hit)
+	case c.Rank == 0:
+		work = firstKnows*float64(w.Hit) + (1-firstKnows)*float64(w.Miss)
+	}
+	slow := c.Slow
+	if c.Cold {
+		slow = max(slow, coldSlow)
+	}
+	wait := max(c.Load+1-slots, 0) / slots * mean
+	usual := float64(c.Trip) + wait + work
+	wait *= slow
+	total := float64(c.Trip) + wait + work*slow
+	crowd := min(c.Load/slots, 1)
+	cost := total + mean*(crowdCost*crowd*crowd*crowd+failCost*c.Fails+rankCost*float64(min(c.Rank, 4)))
+	switch c.Distance {
+	case SameZone:
+	case SameRegion:
+		cost += zoneCost * mean
+	case OtherRegion:
+		cost += regionCost * mean
+	}
+	return Estimate{
+		Wait: time.Duration(wait), Total: time.Duration(total),
+		usual: time.Duration(usual), cost: time.Duration(cost),
+	}
+}
+
+// Best returns the index of the candidate with the least cost among those that
+// the filter admits, and what is expected there; -1 if there is none.
+func Best(candidates []Candidate, w Work, admit func(Candidate, Estimate) bool) (int, Estimate) {
+	best, least := -1, Estimate{}
+	for i, c := range candidates {
+		estimate := Expect(c, w)
+		if !admit(c, estimate) {
+			continue
+		}
+		if best < 0 || estimate.cost < least.cost {
+			best, least = i, estimate
+		}
+	}
+	return best, least
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,227 @@
+// Package route holds the routes of a configuration: which service a request
+// belongs to, what may be repeated, and how long it may take. A Table is never
+// changed once it is made, so that requests read it without a lock.
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+// Part is one part of a route's traffic.
+type Part struct {
+	service place.Service
+	weight  float64
+}
+
+// NewPart makes a part that gets weight, relative to the weights of the other
+// parts of the route.
+func NewPart(service place.Service, weight float64) Part {
+	return Part{service: service, weight: weight}
+}
+
+// Service returns the service that gets this part.
+func (p Part) Service() place.Service { return p.service }
+
+// Spec is what a Route is made from.
+type Spec struct {
+	Name, Host, Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Aim is the time within which an answer is worth its full credit.
+	Aim time.Duration
+	// Rank is the priority: 0 is the most urgent.
+	Rank int
+	// Attempts is the number of targets that one request may be sent to.
+	Attempts int
+	// Affinity tells that targets answer faster for objects that they know.
+	Affinity bool
+	// Homes are the only regions that may serve the route; none means all.
+	Homes []place.Region
+	Parts []Part
+}
+
+// Route is the way of one kind of request.
+type Route struct {
+	spec  Spec
+	total float64
+	turn  atomic.Uint64
+}
+
+func newRoute(spec Spec) *Route {
+	r := &Route{spec: spec}
+	for _, p := range spec.Parts {
+		r.total += p.weight
+	}
+	r.turn.Store(rand.Uint64())
+	return r
+}
+
+// Name returns the name of the route.
+func (r *Route) Name() string { return r.spec.Name }
+
+// Idempotent tells whether a request may run more than once.
+func (r *Route) Idempotent() bool { return r.spec.Idempotent }
+
+// Timeout returns the longest time that a request may be kept waiting.
+func (r *Route) Timeout() time.Duration { return r.spec.Timeout }
+
+// Aim returns the time within which an answer is worth its full credit.
+func (r *Route) Aim() time.Duration { return r.spec.Aim }
+
+// Rank returns the priority: 0 is the most urgent.
+func (r *Route) Rank() int { return r.spec.Rank }
+
+// Attempts returns the number of targets that one request may be sent to.
+func (r *Route) Attempts() int { return r.spec.Attempts }
+
+// Affinity tells whether targets answer faster for objects that they know.
+func (r *Route) Affinity() bool { return r.spec.Affinity }
+
+// AllowedIn tells whether targets of the region may serve the route.
+func (r *Route) AllowedIn(region place.Region) bool {
+	return len(r.spec.Homes) == 0 || slices.Contains(r.spec.Homes, region)
+}
+
+// turnStep is 2^64 divided by the golden ratio. Multiples of it are spread
+// evenly, so that each part gets its share in any short run of requests too.
+const turnStep = 0x9E3779B97F4A7C15
+
+// Next returns the service of the next request, by the weights of the parts.
+func (r *Route) Next() place.Service {
+	if len(r.spec.Parts) == 1 {
+		return r.spec.Parts[0].service
+	}
+	at := float64(r.turn.Add(turnStep)) / float64(math.MaxUint64) * r.total
+	for _, p := range r.spec.Parts {
+		if at < p.weight {
+			return p.service
+		}
+		at -= p.weight
+	}
+	return r.spec.Parts[len(r.spec.Parts)-1].service
+}
+
+// Service is what a configuration says of a service.
+type Service struct {
+	name        place.Service
+	healthPath  string
+	connections int
+	coldTime    time.Duration
+	coldRate    float64
+}
+
+// NewService makes a Service. Targets take at most connections from all callers
+// together, are cold for coldTime after a start and then tolerate coldRate
+// requests a second.
+func NewService(name place.Service, healthPath string, connections int, coldTime time.Duration, coldRate float64) Service {
+	return Service{name: name, healthPath: healthPath, connections: connections, coldTime: coldTime, coldRate: coldRate}
+}
+
+// Name returns the name of the service.
+func (s Service) Name() place.Service { return s.name }
+
+// HealthPath returns the path at which targets answer for their health.
+func (s Service) HealthPath() string { return s.healthPath }
+
+// Connections returns how many connections a target accepts from all callers.
+func (s Service) Connections() int { return s.connections }
+
+// ColdTime returns how long a target is cold after its start.
+func (s Service) ColdTime() time.Duration { return s.coldTime }
+
+// ColdRate returns the requests a second that a cold target tolerates.
+func (s Service) ColdRate() float64 { return s.coldRate }
+
+// Limits bound what a client may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound a request.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeout is how long a client may take to send the header.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay without a request.
+	IdleTimeout time.Duration
+}
+
+// Table is one whole configuration.
+type Table struct {
+	version  uint64
+	hosts    map[string]map[string]*Route
+	services map[place.Service]Service
+	limits   Limits
+}
+
+// New makes the table of a version.
+func New(version uint64, specs []Spec, services []Service, limits Limits) *Table {
+	t := &Table{
+		version: version, limits: limits,
+		hosts:    map[string]map[string]*Route{},
+		services: make(map[place.Service]Service, len(services)),
+	}
+	for _, s := range services {
+		t.services[s.name] = s
+	}
+	for _, spec := range specs {
+		host := strings.ToLower(spec.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = map[string]*Route{}
+		}
+		t.hosts[host][spec.Prefix] = newRoute(spec)
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.version }
+
+// Service returns what the configuration says of the service.
+func (t *Table) Service(name place.Service) (Service, bool) {
+	s, found := t.services[name]
+	return s, found
+}
+
+// Limits returns the bounds of what clients may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Routes returns how many routes there are.
+func (t *Table) Routes() int {
+	total := 0
+	for _, prefixes := range t.hosts {
+		total += len(prefixes)
+	}
+	return total
+}
+
+// Find returns the route of a request: among those of the host the one with the
+// longest prefix that the path begins with. Prefixes end with a slash, so only
+// the parts of the path that end with one are looked up.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	prefixes := t.hosts[strings.ToLower(host)]
+	if prefixes == nil {
+		prefixes = t.hosts[withoutPort(host)]
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			break
+		}
+		if r, found := prefixes[path[:slash+1]]; found {
+			return r, true
+		}
+		end = slash
+	}
+	return nil, false
+}
+
+func withoutPort(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
--- a/target/answer.go
+++ b/target/answer.go
@@ -16,16 +16,34 @@
 // cannot be told.
 var errCut = errors.New("the answer is not whole")
 
-// read takes one whole answer from the connection. reusable tells whether the
-// connection may carry another request.
+// strayAnswersMax is how many answers to earlier requests may come before the
+// right one.
+const strayAnswersMax = 4
+
+// read takes the whole answer to a request from the connection. reusable tells
+// whether the connection may carry another request. If the request has an echo,
+// answers that belong to earlier requests are passed over; a connection that
+// brought one is not used again.
 func read(reader *bufio.Reader, r Request) (answer Answer, reusable bool, err error) {
+	for stray := range strayAnswersMax {
+		if answer, reusable, err = readOne(reader, r); err != nil {
+			return answer, false, err
+		}
+		if r.echo.name == "" || answer.Header(r.echo.name) == r.echo.value {
+			return answer, reusable && stray == 0, nil
+		}
+	}
+	return Answer{}, false, errors.Wrapf(errCut, "%d answers came that belong to other requests", strayAnswersMax)
+}
+
+func readOne(reader *bufio.Reader, r Request) (answer Answer, reusable bool, err error) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	if err = readHeader(reader, response); err != nil {
 		return Answer{}, false, err
 	}
 	if hasBody(r.method, response.StatusCode()) {
-		if err = readBody(reader, response, r.answerBytes); err != nil {
+		if err = readBody(reader, response, r); err != nil {
 			return Answer{}, false, err
 		}
 	}
@@ -54,11 +72,11 @@
 }
 
 // readBody reads a body whose end is marked by a length or by a last chunk. A
-// body that ends with the connection is refused, because a connection that
-// broke looks the same.
-func readBody(reader *bufio.Reader, response *fasthttp.Response, answerBytes int) error {
-	length := response.Header.ContentLength()
-	if length < -1 {
+// body that ends with the connection is refused unless the request allows it,
+// because for most targets a connection that broke looks the same.
+func readBody(reader *bufio.Reader, response *fasthttp.Response, r Request) error {
+	length, answerBytes := response.Header.ContentLength(), r.answerBytes
+	if length < -1 && !r.unframed {
 		return errors.Wrap(errCut, "the answer has neither a Content-Length nor chunks, so that its end cannot be told")
 	}
 	if length > answerBytes {
@@ -67,6 +85,9 @@
 	if err := response.ReadBody(reader, answerBytes); err != nil {
 		return errors.Mark(errors.Wrap(err, "read the answer's body"), errCut)
 	}
+	if length < -1 {
+		response.SetConnectionClose()
+	}
 	if length != -1 {
 		return nil
 	}
@@ -78,6 +99,7 @@
 
 func copyAnswer(response *fasthttp.Response) Answer {
 	answer := Answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}
+	answer.keepAlive = string(response.Header.Peek("Keep-Alive"))
 	for name, value := range response.Header.All() {
 		if !connectionHeader(string(name)) {
 			answer.headers = append(answer.headers, Header{name: string(name), value: string(value)})
--- a/target/client.go
+++ b/target/client.go
@@ -5,10 +5,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +19,7 @@
 
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/socket"
 )
 
 const (
@@ -24,6 +28,12 @@
 	busyComeBack    = 20 * time.Millisecond
 	dialComeBack    = 100 * time.Millisecond
 	defaultDeadline = 30 * time.Second
+	// idleMargin is how long before the end of a connection's idle time it is
+	// no longer used. Targets state that time in whole seconds.
+	idleMargin = 1500 * time.Millisecond
+	// bodyBytesAtOnce is the longest body that is written before the answer is
+	// read. The buffers of a connection take that much in one piece.
+	bodyBytesAtOnce = 8 << 10
 )
 
 // Client sends requests to one target over kept connections. It never repeats
@@ -36,31 +46,35 @@
 	host     *fasthttp.HostClient
 	inFlight atomic.Int64
 	report   atomic.Pointer[Report]
+	// idleMax is how long the target keeps an idle connection, as far as its
+	// answers say so, and 0 before.
+	idleMax atomic.Int64
+	// dialTime is how long the last connection took to open.
+	dialTime atomic.Int64
 }
 
 // New makes a Client of the target that listens on the address. At most
 // connections are open at once.
 func New(name place.Target, address string, connections int) *Client {
-	host := &fasthttp.HostClient{
+	c := &Client{name: name, address: address}
+	c.host = &fasthttp.HostClient{
 		Addr:                      address,
 		MaxConns:                  connections,
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		ConnPoolStrategy:          fasthttp.LIFO,
-		DialTimeout:               dial,
+		DialTimeout:               c.dial,
 	}
-	return &Client{name: name, address: address, host: host}
+	return c
 }
 
-func dial(address string, timeout time.Duration) (net.Conn, error) {
+func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 || timeout > dialTimeoutMax {
 		timeout = dialTimeoutMax
 	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
-	if err != nil {
-		return nil, errors.Wrapf(err, "dial %s", address)
-	}
-	return conn, nil
+	began := time.Now()
+	defer func() { c.dialTime.Store(int64(time.Since(began))) }()
+	return socket.Dial(context.Background(), address, timeout)
 }
 
 // Name returns the name of the target.
@@ -75,11 +89,15 @@
 // Connections returns how many connections are open.
 func (c *Client) Connections() int { return c.host.ConnsCount() }
 
+// DialTime returns how long the last connection took to open, 0 before the
+// first one. It is about the time that a packet needs there and back.
+func (c *Client) DialTime() time.Duration { return time.Duration(c.dialTime.Load()) }
+
 // Close closes the connections that no request uses.
 func (c *Client) Close() { c.host.CloseIdleConnections() }
 
-// Do hands the request to the target once and returns the whole answer. Every
-// error is an *errs.Refusal. Its verdict is not-run only if no byte of the
+// Do hands the request to the target once and returns the whole answer, also
+// with an error if the answer is a refusal before the run. Every error is an *errs.Refusal. Its verdict is not-run only if no byte of the
 // request was written or if the policy names the answer as a refusal before
 // the run; otherwise it is may-have-run. When ctx ends the connection is
 // closed, which tells the target to give up.
@@ -145,8 +163,12 @@
 		if err != nil {
 			return nil, errs.NotRun(errs.ReasonTargetError, dialComeBack, "target %s: cannot connect: %v", c.name, err)
 		}
+		fresh := kept.LastUseTime().IsZero()
+		if !fresh && c.expired(kept.LastUseTime()) {
+			c.host.CloseConn(kept)
+			continue
+		}
 		if stale(kept.Conn()) {
-			fresh := kept.LastUseTime().IsZero()
 			c.host.CloseConn(kept)
 			if fresh {
 				return nil, errs.NotRun(errs.ReasonTargetError, dialComeBack, "target %s: closed a new connection before anything was sent", c.name)
@@ -161,6 +183,13 @@
 	}
 }
 
+// expired tells whether the target is about to close a connection that was
+// last used at the given time. A request that crosses the close would be lost.
+func (c *Client) expired(lastUse time.Time) bool {
+	idleMax := time.Duration(c.idleMax.Load())
+	return idleMax > 0 && time.Since(lastUse) > idleMax-idleMargin
+}
+
 // exchange writes the request, reads the answer and judges what came of it.
 func (c *Client) exchange(ctx context.Context, l *link, r Request, deadline time.Time) (Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
@@ -174,7 +203,7 @@
 		return Answer{}, c.judge(ctx, l, err)
 	}
 	if refusal := c.refusedBeforeRun(r, answer); refusal != nil {
-		return Answer{}, refusal
+		return answer, refusal
 	}
 	return answer, nil
 }
@@ -183,12 +212,44 @@
 	if err := l.conn.SetDeadline(deadline); err != nil {
 		return Answer{}, false, errors.Wrap(err, "set the deadline")
 	}
-	if err := c.write(l, r, deadline); err != nil {
-		return Answer{}, false, err
+	written := make(chan error, 1)
+	if len(r.body) <= bodyBytesAtOnce {
+		if err := c.write(l, r, deadline); err != nil {
+			return Answer{}, false, err
+		}
+		written <- nil
+	} else {
+		go func() { written <- c.write(l, r, deadline) }()
 	}
 	reader := c.host.AcquireReader(l.conn)
 	defer c.host.ReleaseReader(reader)
-	return read(reader, r)
+	answer, reusable, err := read(reader, r)
+	c.noteIdleMax(answer)
+	if err != nil {
+		_ = l.conn.Close()
+		return answer, false, errors.CombineErrors(err, <-written)
+	}
+	// A target may answer before it has read the whole body. What it has not
+	// read must not be followed by another request.
+	select {
+	case failed := <-written:
+		return answer, reusable && failed == nil, nil
+	default:
+		_ = l.conn.Close()
+		<-written
+		return answer, false, nil
+	}
+}
+
+// noteIdleMax keeps the idle time that an answer states, as in
+// "Keep-Alive: timeout=5".
+func (c *Client) noteIdleMax(answer Answer) {
+	for part := range strings.SplitSeq(answer.keepAlive, ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if seconds, err := strconv.Atoi(value); found && err == nil && seconds > 0 {
+			c.idleMax.Store(int64(time.Duration(seconds) * time.Second))
+		}
+	}
 }
 
 func (c *Client) write(l *link, r Request, deadline time.Time) error {
@@ -196,7 +257,7 @@
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(r.method)
 	request.Header.SetRequestURI(r.path)
-	request.Header.SetHost(c.address)
+	request.Header.SetHost(cmp.Or(r.host, c.address))
 	for _, h := range r.headers {
 		if !connectionHeader(h.name) {
 			request.Header.Add(h.name, h.value)
@@ -221,6 +282,10 @@
 	switch {
 	case errors.Is(err, errCut):
 		reason = errs.ReasonCutAnswer
+	case errors.Is(err, syscall.ETIMEDOUT):
+		// The machine no longer acknowledges what was sent, which is not the
+		// end of the request's own time.
+		reason = errs.ReasonSilent
 	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason = errs.ReasonDeadline
 	case ctx.Err() != nil:
@@ -236,7 +301,7 @@
 // which the target says that it did not run the request.
 func (c *Client) refusedBeforeRun(r Request, answer Answer) *errs.Refusal {
 	for _, rule := range r.refused {
-		if rule.Status() != answer.status {
+		if rule.Status() != 0 && rule.Status() != answer.status {
 			continue
 		}
 		if rule.Header() != "" && answer.Header(rule.Header()) == "" {
--- a/target/request.go
+++ b/target/request.go
@@ -44,6 +44,9 @@
 	deadline    time.Time
 	refused     []config.Refused
 	answerBytes int
+	host        string
+	echo        Header
+	unframed    bool
 }
 
 // NewRequest makes a Request. path is what the target receives, with the query
@@ -79,6 +82,34 @@
 	return r
 }
 
+// WithHost returns a copy that bears the name of a host in place of the
+// target's address.
+func (r Request) WithHost(host string) Request {
+	r.host = host
+	return r
+}
+
+// WithEcho returns a copy whose answer has to repeat a header. An answer with
+// another value belongs to an earlier request and is passed over.
+func (r Request) WithEcho(header Header) Request {
+	r.echo = header
+	return r
+}
+
+// WithUnframed returns a copy that takes an answer without a length, which ends
+// when the target closes the connection in good order.
+func (r Request) WithUnframed() Request {
+	r.unframed = true
+	return r
+}
+
+// WithRefused returns a copy that takes the given answers as a target's word
+// that it did not run the request.
+func (r Request) WithRefused(refused []config.Refused) Request {
+	r.refused = refused
+	return r
+}
+
 // Method returns the HTTP method.
 func (r Request) Method() string { return r.method }
 
@@ -110,9 +141,10 @@
 
 // Answer is the whole answer of a target.
 type Answer struct {
-	status  int
-	headers []Header
-	body    []byte
+	status    int
+	headers   []Header
+	body      []byte
+	keepAlive string
 }
 
 // Status returns the HTTP status.
--- a/wire/message.go
+++ b/wire/message.go
@@ -18,7 +18,8 @@
 type Kind uint8
 
 // The kinds of the core messages. Other parts have ranges of their own: 20 to
-// 29 at-most-once, 30 to 39 limits, 40 to 49 settings, 50 to 59 membership.
+// 29 at-most-once, 30 to 39 limits, 40 to 49 settings, 50 to 59 membership, 60 to
+// 69 the objects of the platform.
 const (
 	KindHello   Kind = 1
 	KindCancel  Kind = 2
@@ -129,6 +130,7 @@
 	newOnce,
 	newLimits,
 	newMember,
+	newFollow,
 }
 
 func newCore(k Kind) Message {
