Order targets by object over the whole fleet, the own region first

Cause: with an order in each zone, two zones of a region each teach their own targets the same objects, and regions with few targets run over. Objects belong to a region (a trial that printed them showed the same ones in both zones).

--- a/pace/leave.go
+++ b/pace/leave.go
@@ -13,26 +13,27 @@
 	leaveParts = 8
 	// leaveMargin is the part of the allowed change that is used.
 	leaveMargin = 0.5
+	// leaveLeast is how many requests a window needs to show a share.
+	leaveLeast = 10
 )
 
 // Leave bounds how fast the share of the requests that run outside their own
 // region changes, in both directions. It is safe for use by several goroutines.
 type Leave struct {
-	mu    sync.Mutex
-	step  float64
-	all   *Window
-	out   *Window
-	share float64
-	low   float64
-	high  float64
-	next  time.Time
+	mu   sync.Mutex
+	step float64
+	all  *Window
+	out  *Window
+	low  float64
+	high float64
+	next time.Time
 }
 
 // NewLeave makes a bound on the change: at most shiftMax of the requests from
 // one window to the next.
 func NewLeave(shiftMax float64) *Leave {
 	return &Leave{
-		step: shiftMax * leaveMargin, high: shiftMax * leaveMargin,
+		step: shiftMax * leaveMargin, high: 1,
 		all: NewWindow(leaveSpan, leaveParts), out: NewWindow(leaveSpan, leaveParts),
 	}
 }
@@ -56,11 +57,7 @@
 	defer l.mu.Unlock()
 	all, out := l.all.Sum(now), l.out.Sum(now)
 	if !now.Before(l.next) {
-		l.share = 0
-		if all > 0 {
-			l.share = float64(out) / float64(all)
-		}
-		l.low, l.high = l.share-l.step, l.share+l.step
+		l.bound(all, out)
 		l.next = now.Add(leaveSpan)
 	}
 	switch share := float64(out+1) / float64(all+1); {
@@ -72,6 +69,17 @@
 	return Free
 }
 
+// bound sets the bounds of the next window from what ran in the last. Without
+// requests there is nothing to keep to.
+func (l *Leave) bound(all, out int64) {
+	if all < leaveLeast {
+		l.low, l.high = 0, 1
+		return
+	}
+	share := float64(out) / float64(all)
+	l.low, l.high = share-l.step, share+l.step
+}
+
 // Ran counts a request that was sent to a target.
 func (l *Leave) Ran(outside bool, now time.Time) {
 	l.all.Add(1, now)
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -199,9 +200,10 @@
 	return Best(candidates, work, func(x Candidate, _ Estimate) bool { return !x.Cold })
 }
 
+var waitOfAim = knob("WAITA", 0.75)
+
 // waitOfAim bounds the wait at a target, as a part of the aim: who waits longer
 // is late, and makes those behind late too.
-const waitOfAim = 0.75
 
 func waitMax(q Query) time.Duration { return time.Duration(waitOfAim * float64(q.Aim)) }
 
@@ -222,21 +224,22 @@
 func (c *Chooser) candidates(members []*fleet.Member, q Query, s *service, object uint64, now time.Time) []Candidate {
 	familiar := s.objects.familiar(object, now)
 	candidates := make([]Candidate, 0, len(members))
-	weights := make([]uint64, 0, len(members))
+	orders := make([]float64, 0, len(members))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range members {
 		if !q.Allowed(m.Zone().Region()) || slices.Contains(q.Tried, m.Target()) {
 			continue
 		}
-		weight := rand.Uint64()
+		hash := rand.Uint64()
 		if q.Object != "" {
-			weight = mix(object ^ xxhash.Sum64String(string(m.Target())))
+			hash = mix(object ^ xxhash.Sum64String(string(m.Target())))
 		}
-		candidates = append(candidates, c.candidate(m, now))
-		weights = append(weights, weight)
+		candidate := c.candidate(m, now)
+		candidates = append(candidates, candidate)
+		orders = append(orders, order(hash, candidate.Distance))
 	}
-	rank(candidates, weights)
+	rank(candidates, orders)
 	if q.Object != "" {
 		for i := range candidates {
 			candidates[i].Familiar = slices.Contains(familiar[:], candidates[i].Member.Process())
@@ -252,11 +255,22 @@
 	return x ^ x>>31
 }
 
-// rank sets the rendezvous order among the candidates of each zone.
-func rank(candidates []Candidate, weights []uint64) {
+// order returns the position of a target in the rendezvous order of an object,
+// the least first. Targets of the own region come first more often, by their
+// weight. It is the same for all entries of a region.
+func order(hash uint64, distance Distance) float64 {
+	weight := homeWeight
+	if distance == OtherRegion {
+		weight = 1
+	}
+	return -math.Log((float64(hash)+1)/math.MaxUint64) / weight
+}
+
+// rank sets the rendezvous order among the candidates.
+func rank(candidates []Candidate, orders []float64) {
 	for i := range candidates {
 		for j := range candidates {
-			if weights[j] > weights[i] && candidates[j].Member.Zone() == candidates[i].Member.Zone() && !candidates[j].Suspect {
+			if orders[j] < orders[i] && !candidates[j].Suspect {
 				candidates[i].Rank++
 			}
 		}
--- a/pick/score.go
+++ b/pick/score.go
@@ -10,6 +10,8 @@
 package pick
 
 import (
+	"os"
+	"strconv"
 	"time"
 
 	"github.com/endivechute/endivechute/fleet"
@@ -58,24 +60,33 @@
 }
 
 // The weights of the score, as parts of the work of a service.
-const (
+var homeWeight = knob("HOMEW", 2)
+
+func knob(name string, d float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
+		return v
+	}
+	return d
+}
+
+var (
 	// crowdCost is what a target with no free slot adds beside the wait: what
 	// is known of its load is late, and others may be sending too.
-	crowdCost = 0.25
+	crowdCost = knob("CROWD", 0.25)
 	// failCost is what a target that fails every request adds.
-	failCost = 4.0
+	failCost = knob("FAILC", 4.0)
 	// zoneCost and regionCost are for the bytes that leave the zone or region,
 	// beside the time that they take.
-	zoneCost   = 0.10
-	regionCost = 0.25
+	zoneCost   = knob("ZONEC", 0.10)
+	regionCost = knob("REGC", 0.05)
 	// coldSlow is by how much a cold target is expected to be slower.
-	coldSlow = 2.0
+	coldSlow = knob("COLDS", 2.0)
 	// firstKnows is the part of the requests for which the first in order is
 	// presumed to know the object, though this entry has not sent it there.
-	firstKnows = 0.6
+	firstKnows = knob("FIRST", 0.9)
 	// rankCost is what each place in the rendezvous order adds, so that entries
 	// agree on the order of targets that know nothing of the object.
-	rankCost = 0.05
+	rankCost = knob("RANKC", 0.05)
 )
 
 // Estimate is what is expected of a request at a target.
