--- a/entry/dump.go
+++ b/entry/dump.go
@@ -7,8 +7,8 @@
 	"github.com/endivechute/endivechute/once"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/relay"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -116,7 +116,7 @@
 	return dump
 }
 
-func dumpTarget(listed store.Target, client *target.Client, now time.Time) DumpTarget {
+func dumpTarget(listed store.Target, client *sender.Client, now time.Time) DumpTarget {
 	dump := DumpTarget{
 		Target: listed.Target, Service: listed.Service, State: listed.State, InFlight: client.InFlight(),
 		Leaving: client.Leaving(), ReportAgeMillis: -1,
--- a/entry/request.go
+++ b/entry/request.go
@@ -5,7 +5,7 @@
 
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/place"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -64,7 +64,7 @@
 	}
 }
 
-func answerToWire(answer target.Answer) *wire.Answer {
+func answerToWire(answer sender.Answer) *wire.Answer {
 	headers := make([]wire.Header, 0, len(answer.Headers()))
 	for _, h := range answer.Headers() {
 		headers = append(headers, wire.Header{Name: h.Name(), Value: h.Value()})
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -12,9 +12,9 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/keeper"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/shift"
 	"github.com/endivechute/endivechute/steer"
-	"github.com/endivechute/endivechute/target"
 	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -297,12 +297,12 @@
 	return whole, nil
 }
 
-func targetRequest(policy *config.Policy, r *Request) target.Request {
-	headers := make([]target.Header, 0, len(r.headers))
+func targetRequest(policy *config.Policy, r *Request) sender.Request {
+	headers := make([]sender.Header, 0, len(r.headers))
 	for _, h := range r.headers {
-		headers = append(headers, target.NewHeader(h.Name, h.Value))
+		headers = append(headers, sender.NewHeader(h.Name, h.Value))
 	}
-	return target.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
+	return sender.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithBody(headers, r.body).WithPolicy(policy)
 }
 
 // outcomeOf tells what became of the slot. Targets stop idempotent requests
--- a/entry/view.go
+++ b/entry/view.go
@@ -6,8 +6,8 @@
 
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/store"
-	"github.com/endivechute/endivechute/target"
 )
 
 // view is what a request needs to know of the instances of the fleet. A view
@@ -19,7 +19,7 @@
 	// nearZones are the zones of zoneEntries by their distance from each other.
 	nearZones map[place.Zone][distances][]place.Zone
 	targets   map[place.Service]map[place.Zone][]store.Target
-	clients   map[place.Target]*target.Client
+	clients   map[place.Target]*sender.Client
 }
 
 // withRoster returns a copy that knows the instances of the list. zone is the
@@ -34,7 +34,7 @@
 	}
 	next.nearZones = nearZones(zone, slices.Sorted(maps.Keys(next.zoneEntries)))
 	next.targets = map[place.Service]map[place.Zone][]store.Target{}
-	next.clients = map[place.Target]*target.Client{}
+	next.clients = map[place.Target]*sender.Client{}
 	for _, t := range roster.Targets {
 		zones := next.targets[t.Service]
 		if zones == nil {
@@ -65,7 +65,7 @@
 }
 
 // client returns the client of the target that is in use, or a new one.
-func (v *view) client(t store.Target, tables *config.Tables) *target.Client {
+func (v *view) client(t store.Target, tables *config.Tables) *sender.Client {
 	if known := v.clients[t.Target]; known != nil && known.Address() == t.Address {
 		return known
 	}
@@ -73,7 +73,7 @@
 	if policy, found := tables.Policy(t.Service); found {
 		connections = policy.ConnectionsOf(t.Target)
 	}
-	return target.New(t.Target, t.Address, connections)
+	return sender.New(t.Target, t.Address, connections)
 }
 
 // usable returns the targets of the service in the availability zone that may
--- a/front/clients.go
+++ b/front/clients.go
@@ -5,7 +5,7 @@
 
 	"github.com/endivechute/endivechute/fleet"
 	"github.com/endivechute/endivechute/place"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 )
 
 const (
@@ -26,14 +26,14 @@
 // processClient is the client of one process of a target.
 type processClient struct {
 	process fleet.Process
-	client  *target.Client
+	client  *sender.Client
 }
 
 func newClients() *clients { return &clients{targets: map[place.Target]*processClient{}} }
 
 // of returns the client of the target's present process. connections bounds
 // the connections that are open at once.
-func (c *clients) of(m *fleet.Member, connections int) *target.Client {
+func (c *clients) of(m *fleet.Member, connections int) *sender.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, found := c.targets[m.Target()]
@@ -43,7 +43,7 @@
 	if found {
 		held.client.Close()
 	}
-	held = &processClient{process: m.Process(), client: target.New(m.Target(), m.Address(), connections)}
+	held = &processClient{process: m.Process(), client: sender.New(m.Target(), m.Address(), connections)}
 	c.targets[m.Target()] = held
 	return held.client
 }
--- a/front/note.go
+++ b/front/note.go
@@ -8,7 +8,7 @@
 
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/pick"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 )
 
 // note logs and counts a request that no target answered.
@@ -42,7 +42,7 @@
 }
 
 // sent logs and counts what became of a request at a target.
-func (s *Server) sent(q *request, send *pick.Send, outcome pick.Outcome, answer target.Answer, err error, now time.Time) {
+func (s *Server) sent(q *request, send *pick.Send, outcome pick.Outcome, answer sender.Answer, err error, now time.Time) {
 	name := outcomeName(outcome)
 	s.stats.sends.WithLabelValues(name, distanceName(send.Distance())).Inc()
 	if name == "answered" && !s.log.IsLevelEnabled(logrus.DebugLevel) {
--- a/front/request.go
+++ b/front/request.go
@@ -12,7 +12,7 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/route"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 )
 
 const (
@@ -117,7 +117,7 @@
 }
 
 // deliver writes a target's answer as it came.
-func (s *Server) deliver(w http.ResponseWriter, q *request, a target.Answer) {
+func (s *Server) deliver(w http.ResponseWriter, q *request, a sender.Answer) {
 	header := w.Header()
 	for _, h := range a.Headers() {
 		header.Add(h.Name(), h.Value())
@@ -155,7 +155,7 @@
 
 // run sends the request to one target after another until one answers it, as
 // far as its route and the budget allow.
-func (s *Server) run(ctx context.Context, q *request) (target.Answer, error) {
+func (s *Server) run(ctx context.Context, q *request) (sender.Answer, error) {
 	service := q.route.Next()
 	retries := s.retries(service)
 	retries.Request(q.arrived)
--- a/front/send.go
+++ b/front/send.go
@@ -10,7 +10,7 @@
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 )
 
 // unreachedMax is how many targets may turn out to be unreachable for one
@@ -25,7 +25,7 @@
 	reached   int
 	unreached int
 	// failure is the answer of a target that failed the request.
-	failure *target.Answer
+	failure *sender.Answer
 	// unknown is the refusal of a send whose fate is unknown.
 	unknown error
 	last    error
@@ -33,7 +33,7 @@
 }
 
 // add takes in what became of a send.
-func (t *tries) add(send *pick.Send, answer target.Answer, err error) {
+func (t *tries) add(send *pick.Send, answer sender.Answer, err error) {
 	t.tried = append(t.tried, send.Member().Target())
 	t.last = err
 	refusal := errs.AsRefusal(err)
@@ -69,16 +69,16 @@
 
 // end returns what the client gets: a target's answer, or else the refusal that
 // says the truth of all sends together.
-func (t *tries) end(err error) (target.Answer, error) {
+func (t *tries) end(err error) (sender.Answer, error) {
 	switch {
 	case t.failure != nil:
 		return *t.failure, nil
 	case t.unknown != nil:
-		return target.Answer{}, t.unknown
+		return sender.Answer{}, t.unknown
 	case err == nil:
 		err = t.last
 	}
-	return target.Answer{}, err
+	return sender.Answer{}, err
 }
 
 // choose returns the target of the next send.
@@ -116,7 +116,7 @@
 // send hands the request to a target and takes in what becomes of it. An
 // idempotent request is broken off when its client leaves; any other runs to
 // its end, because its outcome counts all the same.
-func (s *Server) send(ctx context.Context, q *request, send *pick.Send) (target.Answer, error) {
+func (s *Server) send(ctx context.Context, q *request, send *pick.Send) (sender.Answer, error) {
 	if !q.route.Idempotent() {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -141,7 +141,7 @@
 // answerBytesMax bounds an answer that is held until it is whole.
 const answerBytesMax = 16 << 20
 
-func (s *Server) client(m *fleet.Member) *target.Client {
+func (s *Server) client(m *fleet.Member) *sender.Client {
 	accepted := 0
 	if service, found := s.feed.Table().Service(m.Service()); found {
 		accepted = service.Connections()
@@ -149,7 +149,7 @@
 	return s.clients.of(m, connectionShare(accepted, s.mates.Size()))
 }
 
-func report(a target.Answer) *pick.Report {
+func report(a sender.Answer) *pick.Report {
 	load, known := platform.ReadLoad(a)
 	if !known {
 		return nil
@@ -157,7 +157,7 @@
 	return &pick.Report{Running: load.Running(), Waiting: load.Waiting()}
 }
 
-func outcomeOf(answer target.Answer, err error) pick.Outcome {
+func outcomeOf(answer sender.Answer, err error) pick.Outcome {
 	if err == nil {
 		return pick.Answered{Failed: answer.Status() >= http.StatusInternalServerError}
 	}
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -16,8 +16,8 @@
 	"github.com/endivechute/endivechute/load"
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/stub"
-	"github.com/endivechute/endivechute/target"
 )
 
 func TestMain(m *testing.M) {
@@ -46,7 +46,7 @@
 
 // fakeEntry passes requests on to a target. break makes the n-th POST go wrong.
 type fakeEntry struct {
-	client *target.Client
+	client *sender.Client
 	fault  string
 	posts  atomic.Int64
 	routes atomic.Int64
@@ -65,9 +65,9 @@
 	}
 	var body bytes.Buffer
 	_, _ = body.ReadFrom(r.Body)
-	request := target.NewRequest(r.Method, strings.TrimPrefix(r.URL.RequestURI(), "/s/"+string(service)), time.Time{}).
+	request := sender.NewRequest(r.Method, strings.TrimPrefix(r.URL.RequestURI(), "/s/"+string(service)), time.Time{}).
 		WithKey(r.Header.Get("Endivechute-Key")).
-		WithBody([]target.Header{target.NewHeader("X-Request-Id", r.Header.Get("X-Request-Id"))}, body.Bytes())
+		WithBody([]sender.Header{sender.NewHeader("X-Request-Id", r.Header.Get("X-Request-Id"))}, body.Bytes())
 	w.Header().Set("Endivechute-Verdict", "ran")
 	if fault == "lost" {
 		_ = json.NewEncoder(w).Encode(stub.Echo{Service: string(service), Key: r.Header.Get("Endivechute-Key"),
@@ -96,7 +96,7 @@
 func run(t *testing.T, fault string, baseline bool) load.Summary {
 	t.Helper()
 	targets := startTargets(t)
-	entry := &fakeEntry{client: target.New("t1", targets[0], 100), fault: fault}
+	entry := &fakeEntry{client: sender.New("t1", targets[0], 100), fault: fault}
 	t.Cleanup(entry.client.Close)
 	server := httptest.NewServer(entry)
 	t.Cleanup(server.Close)
--- a/load/lookup.go
+++ b/load/lookup.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/place"
-	"github.com/endivechute/endivechute/target"
+	"github.com/endivechute/endivechute/sender"
 )
 
 const (
@@ -35,24 +35,24 @@
 	seeds   []string
 	mutex   sync.Mutex
 	routes  map[place.Service]*route
-	clients map[string]*target.Client
+	clients map[string]*sender.Client
 	number  atomic.Uint64
 	lookups atomic.Int64
 }
 
 func newResolver(seeds []string, numberStart uint64) *resolver {
-	r := &resolver{seeds: seeds, routes: map[place.Service]*route{}, clients: map[string]*target.Client{}}
+	r := &resolver{seeds: seeds, routes: map[place.Service]*route{}, clients: map[string]*sender.Client{}}
 	r.number.Store(numberStart << numberRandomShift)
 	return r
 }
 
 // client returns the kept connections to an address.
-func (r *resolver) client(address string) *target.Client {
+func (r *resolver) client(address string) *sender.Client {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	c := r.clients[address]
 	if c == nil {
-		c = target.New(place.Target(address), address, connectionsMax)
+		c = sender.New(place.Target(address), address, connectionsMax)
 		r.clients[address] = c
 	}
 	return c
@@ -131,7 +131,7 @@
 
 func (r *resolver) askOne(ctx context.Context, address string, service place.Service) (*route, error) {
 	asked := time.Now()
-	request := target.NewRequest("GET", "/v1/lookup?service="+url.QueryEscape(string(service)), asked.Add(lookupTimeout))
+	request := sender.NewRequest("GET", "/v1/lookup?service="+url.QueryEscape(string(service)), asked.Add(lookupTimeout))
 	answer, err := r.client(address).Do(ctx, request)
 	if err != nil {
 		return nil, err
--- a/load/send.go
+++ b/load/send.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/stub"
-	"github.com/endivechute/endivechute/target"
 )
 
 // The headers of the callers' interface.
@@ -78,7 +78,7 @@
 	lookUp bool
 	// unreachable: nothing was sent, because the entry cannot be reached.
 	unreachable bool
-	answer      target.Answer
+	answer      sender.Answer
 }
 
 // send tries the request until it ran, its fate is final, or its time is over.
@@ -154,12 +154,12 @@
 		deadline = time.Now().Add(min(left, max(left/attemptShare, attemptMin)))
 	}
 	left := max(time.Until(deadline).Milliseconds(), 1)
-	headers := []target.Header{
-		target.NewHeader(target.HeaderRequest, a.id),
-		target.NewHeader(headerDeadline, strconv.FormatInt(left, 10)),
+	headers := []sender.Header{
+		sender.NewHeader(sender.HeaderRequest, a.id),
+		sender.NewHeader(headerDeadline, strconv.FormatInt(left, 10)),
 	}
 	path := "/s/" + string(s.kind.Service) + s.path
-	request := target.NewRequest(s.kind.Method, path, deadline).WithBody(headers, s.body).WithKey(a.key)
+	request := sender.NewRequest(s.kind.Method, path, deadline).WithBody(headers, s.body).WithKey(a.key)
 	answer, err := c.resolver.client(entry).Do(ctx, request)
 	if err != nil {
 		reason := errs.AsRefusal(err).Reason()
@@ -187,8 +187,8 @@
 func (c *caller) direct(ctx context.Context, s *sent, a attempt) told {
 	addresses := c.options.Targets[s.kind.Service]
 	address := addresses[int(c.next.Add(1)%uint64(len(addresses)))]
-	request := target.NewRequest(s.kind.Method, s.path, time.Time{}).
-		WithBody([]target.Header{target.NewHeader(target.HeaderRequest, a.id)}, s.body).WithKey(a.id)
+	request := sender.NewRequest(s.kind.Method, s.path, time.Time{}).
+		WithBody([]sender.Header{sender.NewHeader(sender.HeaderRequest, a.id)}, s.body).WithKey(a.id)
 	answer, err := c.resolver.client(address).Do(ctx, request)
 	switch {
 	case errs.VerdictOf(err) == errs.VerdictNotRun, err == nil && answer.Header(stub.HeaderShed) != "":
@@ -200,7 +200,7 @@
 }
 
 // check tells what is wrong with an answer that was passed on as whole, or "".
-func (s *sent) check(answer target.Answer) string {
+func (s *sent) check(answer sender.Answer) string {
 	var echo stub.Echo
 	if err := json.Unmarshal(answer.Body(), &echo); err != nil {
 		return fmt.Sprintf("request %s: the answer is not whole: %.100q", s.id, answer.Body())
--- a/load/sum.go
+++ b/load/sum.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/stub"
-	"github.com/endivechute/endivechute/target"
 )
 
 const (
@@ -226,9 +226,9 @@
 func ReadLog(address string) (stub.Log, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
 	defer cancel()
-	client := target.New("", address, 1)
+	client := sender.New("", address, 1)
 	defer client.Close()
-	answer, err := client.Do(ctx, target.NewRequest("GET", "/control/log", time.Time{}).WithAnswerBytesMax(logBytesMax))
+	answer, err := client.Do(ctx, sender.NewRequest("GET", "/control/log", time.Time{}).WithAnswerBytesMax(logBytesMax))
 	if err != nil {
 		return stub.Log{}, errors.Wrapf(err, "log of the target at %s", address)
 	}
--- a/target/client.go
+++ b/sender/client.go
@@ -1,7 +1,7 @@
-// Package target is the edge to the targets: it hands one request to one
+// Package sender is the edge to the targets: it hands one request to one
 // target, once, and says whether the request may have run. The bytes that
 // targets understand are known to this package only.
-package target
+package sender
 
 import (
 	"bufio"
--- a/target/client_test.go
+++ b/sender/client_test.go
@@ -1,4 +1,4 @@
-package target_test
+package sender_test
 
 import (
 	"bufio"
@@ -18,8 +18,8 @@
 	"github.com/endivechute/endivechute/config"
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/stub"
-	"github.com/endivechute/endivechute/target"
 )
 
 func startStub(t *testing.T, slots int, serviceTime time.Duration) string {
@@ -35,16 +35,16 @@
 	return s.Addr("t1")
 }
 
-func client(t *testing.T, address string, connections int) *target.Client {
+func client(t *testing.T, address string, connections int) *sender.Client {
 	t.Helper()
-	c := target.New("t1", address, connections)
+	c := sender.New("t1", address, connections)
 	t.Cleanup(c.Close)
 	return c
 }
 
-func request(method, body string) target.Request {
-	return target.NewRequest(method, "/loans/7?copy=1", time.Now().Add(20*time.Second)).
-		WithKey("k.1").WithBody([]target.Header{target.NewHeader("X-Request-Id", "r1")}, []byte(body))
+func request(method, body string) sender.Request {
+	return sender.NewRequest(method, "/loans/7?copy=1", time.Now().Add(20*time.Second)).
+		WithKey("k.1").WithBody([]sender.Header{sender.NewHeader("X-Request-Id", "r1")}, []byte(body))
 }
 
 func setFaults(t *testing.T, address, faults string) {
@@ -63,7 +63,7 @@
 
 func executions(t *testing.T, address string) []stub.Execution {
 	t.Helper()
-	answer, err := client(t, address, 4).Do(t.Context(), target.NewRequest("GET", "/control/log", time.Time{}))
+	answer, err := client(t, address, 4).Do(t.Context(), sender.NewRequest("GET", "/control/log", time.Time{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,7 +199,7 @@
 	tests := map[string]struct {
 		ctx     context.Context
 		answer  string
-		request target.Request
+		request sender.Request
 		refused bool
 		sent    int64
 	}{
@@ -207,9 +207,9 @@
 		"policy does not":     {t.Context(), shed, request("POST", ""), false, 1},
 		"without the header":  {t.Context(), plain, request("POST", "").WithPolicy(named), false, 1},
 		"canceled before":     {ended, plain, request("POST", ""), true, 0},
-		"no time left":        {t.Context(), plain, target.NewRequest("POST", "/", time.Now().Add(-time.Second)), true, 0},
-		"two requests in one": {t.Context(), plain, target.NewRequest("POST", "/ HTTP/1.1\r\n\r\nGET /", time.Time{}), true, 0},
-		"odd method":          {t.Context(), plain, target.NewRequest("GET /", "/", time.Time{}), true, 0},
+		"no time left":        {t.Context(), plain, sender.NewRequest("POST", "/", time.Now().Add(-time.Second)), true, 0},
+		"two requests in one": {t.Context(), plain, sender.NewRequest("POST", "/ HTTP/1.1\r\n\r\nGET /", time.Time{}), true, 0},
+		"odd method":          {t.Context(), plain, sender.NewRequest("GET /", "/", time.Time{}), true, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -236,7 +236,7 @@
 // on a new one, and its fate is never in doubt.
 func TestStaleConnection(t *testing.T) {
 	config := stub.Config{Slots: 1, Targets: []stub.TargetConfig{{Name: "t1", Address: "127.0.0.1:0"}}}
-	var c *target.Client
+	var c *sender.Client
 	for range 5 {
 		s := stub.New(config, logs.Discard())
 		if err := s.Listen(); err != nil {
@@ -279,7 +279,7 @@
 // TestDeadline: the time left is passed on, and its end is may-have-run.
 func TestDeadline(t *testing.T) {
 	address := startStub(t, 1, time.Hour)
-	r := target.NewRequest("GET", "/", time.Now().Add(100*time.Millisecond))
+	r := sender.NewRequest("GET", "/", time.Now().Add(100*time.Millisecond))
 	_, err := client(t, address, 4).Do(t.Context(), r)
 	if refusal := errs.AsRefusal(err); refusal.Verdict() != errs.VerdictMayHaveRun || refusal.Reason() != errs.ReasonDeadline {
 		t.Errorf("got %v, want may-have-run (deadline)", err)
@@ -289,7 +289,7 @@
 func TestReport(t *testing.T) {
 	address := startStub(t, 3, 0)
 	setFaults(t, address, `{"leaving":true}`)
-	if (target.Report{}).Known() {
+	if (sender.Report{}).Known() {
 		t.Error("a target that never reported is known")
 	}
 	report, err := client(t, address, 4).Report(t.Context())
--- a/target/main_test.go
+++ b/sender/main_test.go
@@ -1,4 +1,4 @@
-package target_test
+package sender_test
 
 import (
 	"testing"
--- a/target/request.go
+++ b/sender/request.go
@@ -1,4 +1,4 @@
-package target
+package sender
 
 import (
 	"strings"
