Keep connections past the deadline of their last request

Cause: the deadline of a request stayed on its connection, so that the check for a closed connection failed with it and threw a good one away. Ruled out: the target closing idle connections (reading from those that were thrown away gave a time-out, no end), keep-alive probes (off: the same).

--- a/sender/client.go
+++ b/sender/client.go
@@ -51,6 +51,7 @@
 	idleMax atomic.Int64
 	// dialTime is how long the last connection took to open.
 	dialTime atomic.Int64
+	dials    atomic.Int64
 }
 
 // New makes a Client of the target that listens on the address. At most
@@ -72,6 +73,7 @@
 	if timeout <= 0 || timeout > dialTimeoutMax {
 		timeout = dialTimeoutMax
 	}
+	c.dials.Add(1)
 	began := time.Now()
 	defer func() { c.dialTime.Store(int64(time.Since(began))) }()
 	return socket.Dial(context.Background(), address, timeout)
@@ -93,6 +95,9 @@
 // first one. It is about the time that a packet needs there and back.
 func (c *Client) DialTime() time.Duration { return time.Duration(c.dialTime.Load()) }
 
+// Dials returns how many connections were asked for.
+func (c *Client) Dials() int { return int(c.dials.Load()) }
+
 // Close closes the connections that no request uses.
 func (c *Client) Close() { c.host.CloseIdleConnections() }
 
@@ -194,7 +199,7 @@
 func (c *Client) exchange(ctx context.Context, l *link, r Request, deadline time.Time) (Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	answer, reusable, err := c.roundTrip(l, r, deadline)
-	if stop() && reusable && err == nil {
+	if stop() && reusable && err == nil && l.conn.SetDeadline(time.Time{}) == nil {
 		l.release()
 	} else {
 		l.drop()
--- /dev/null
+++ b/sender/kept_test.go
@@ -0,0 +1,25 @@
+package sender_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/sender"
+)
+
+// TestKeepsConnectionPastDeadline: a connection is used again though the
+// deadline of the request before it has passed.
+func TestKeepsConnectionPastDeadline(t *testing.T) {
+	address := startStub(t, 4, 0)
+	c := client(t, address, 4)
+	const deadline = 30 * time.Millisecond
+	for range 3 {
+		if _, err := c.Do(t.Context(), sender.NewRequest("GET", "/loans", time.Now().Add(deadline))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * deadline)
+	}
+	if got := c.Dials(); got != 1 {
+		t.Errorf("%d connections were opened, want 1", got)
+	}
+}
