Let an object's first targets keep it also under load

Cause: with every target busy, the choice by expected time alone spread the requests for an object over many targets; each had to learn it, which takes three times as long, and all together could do less than was asked.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -175,7 +175,7 @@
 // there is a target in the region.
 func (c *Chooser) best(candidates []Candidate, q Query, work Work, now time.Time) (int, Estimate) {
 	fits := func(x Candidate, e Estimate) bool {
-		if x.Suspect || e.Total > q.Left || e.Wait > waitMax(q) {
+		if x.Suspect || e.Total > q.Left {
 			return false
 		}
 		return !x.Cold || c.cold.Room(x.Member.Target(), q.ColdShare(x.Member), now)
@@ -200,18 +200,11 @@
 	return Best(candidates, work, func(x Candidate, _ Estimate) bool { return !x.Cold })
 }
 
-var waitOfAim = knob("WAITA", 0.75)
-
-// waitOfAim bounds the wait at a target, as a part of the aim: who waits longer
-// is late, and makes those behind late too.
-
-func waitMax(q Query) time.Duration { return time.Duration(waitOfAim * float64(q.Aim)) }
-
 // full makes the refusal of a request for which no target has room, with the
 // time after which one is expected to have.
 func full(candidates []Candidate, q Query, work Work) error {
 	_, least := Best(candidates, work, func(Candidate, Estimate) bool { return true })
-	comeBack := max(least.Wait-waitMax(q)/2, work.Hit)
+	comeBack := max(least.Total-q.Left, work.Hit)
 	// Callers that were refused together should not return together.
 	comeBack = time.Duration(float64(comeBack) * (comeBackLeast + rand.Float64()))
 	return errs.NotRun(errs.ReasonTargetBusy, comeBack, "service %s: no target has room within %v; the least wait is %v", q.Service, q.Left, least.Wait)
--- a/pick/score.go
+++ b/pick/score.go
@@ -10,8 +10,6 @@
 package pick
 
 import (
-	"os"
-	"strconv"
 	"time"
 
 	"github.com/endivechute/endivechute/fleet"
@@ -60,33 +58,30 @@
 }
 
 // The weights of the score, as parts of the work of a service.
-var homeWeight = knob("HOMEW", 2)
-
-func knob(name string, d float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-		return v
-	}
-	return d
-}
-
-var (
-	// crowdCost is what a target with no free slot adds beside the wait: what
-	// is known of its load is late, and others may be sending too.
-	crowdCost = knob("CROWD", 0.25)
+// The weights of the score, as parts of the work of a service.
+const (
+	// homeWeight is how much more often a target of the own region comes first
+	// in the order of an object than one of another region.
+	homeWeight = 2.0
 	// failCost is what a target that fails every request adds.
-	failCost = knob("FAILC", 4.0)
+	failCost = 4.0
 	// zoneCost and regionCost are for the bytes that leave the zone or region,
 	// beside the time that they take.
-	zoneCost   = knob("ZONEC", 0.10)
-	regionCost = knob("REGC", 0.05)
+	zoneCost   = 0.10
+	regionCost = 0.05
 	// coldSlow is by how much a cold target is expected to be slower.
-	coldSlow = knob("COLDS", 2.0)
-	// firstKnows is the part of the requests for which the first in order is
-	// presumed to know the object, though this entry has not sent it there.
-	firstKnows = knob("FIRST", 0.9)
-	// rankCost is what each place in the rendezvous order adds, so that entries
-	// agree on the order of targets that know nothing of the object.
-	rankCost = knob("RANKC", 0.05)
+	coldSlow = 2.0
+	// rankCost is what each place in the rendezvous order adds, up to rankMax
+	// places, so that entries agree on the order of targets that know nothing
+	// of the object.
+	rankCost = 1.0
+	rankMax  = 4
+	// teachCost is what a target adds that has no reason to know the object, as
+	// a part of what the knowledge saves. The request would not only take
+	// longer: it would keep the target from others, and make it forget another
+	// object. Where every target is busy, an entry that spreads the requests
+	// for an object over several targets lowers what all of them can do.
+	teachCost = 15.0
 )
 
 // Estimate is what is expected of a request at a target.
@@ -101,27 +96,30 @@
 	cost time.Duration
 }
 
+// knows tells whether the target is taken to know the object: this entry has
+// sent it there, or all entries prefer the target for it.
+func (c Candidate) knows() bool { return c.Familiar || c.Rank == 0 }
+
 // Expect returns what is expected of a request at the candidate.
 func Expect(c Candidate, w Work) Estimate {
 	mean := float64(w.Hit+w.Miss) / 2
 	slots := float64(max(c.Member.Slots(), 1))
 	work := float64(w.Miss)
-	switch {
-	case c.Familiar:
+	if c.knows() {
 		work = float64(w.Hit)
-	case c.Rank == 0:
-		work = firstKnows*float64(w.Hit) + (1-firstKnows)*float64(w.Miss)
 	}
 	slow := c.Slow
 	if c.Cold {
 		slow = max(slow, coldSlow)
 	}
-	wait := max(c.Load+1-slots, 0) / slots * mean
+	wait := max(c.Load+1-slots, 0) / slots * float64(w.Hit)
 	usual := float64(c.Trip) + wait + work
 	wait *= slow
 	total := float64(c.Trip) + wait + work*slow
-	crowd := min(c.Load/slots, 1)
-	cost := total + mean*(crowdCost*crowd*crowd*crowd+failCost*c.Fails+rankCost*float64(min(c.Rank, 4)))
+	cost := total + mean*(failCost*c.Fails+rankCost*float64(min(c.Rank, rankMax)))
+	if !c.knows() {
+		cost += teachCost * float64(w.Miss-w.Hit)
+	}
 	switch c.Distance {
 	case SameZone:
 	case SameRegion:
