--- a/cmd/endivechute/front.go
+++ b/cmd/endivechute/front.go
@@ -4,11 +4,15 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/front"
 	"github.com/endivechute/endivechute/logs"
@@ -41,6 +45,37 @@
 		if settings.MemoryBytes() > 0 {
 			debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 		}
-		return front.New(settings, *metrics, time.Now, logger).Run(ctx)
+		server := front.New(settings, *metrics, time.Now, logger)
+		stop := reloadOnHangup(ctx, *path, server, logger)
+		defer stop()
+		return server.Run(ctx)
 	})
 }
+
+// reloadOnHangup reads the settings file anew at each SIGHUP until ctx ends.
+// Settings that can't be used are reported, and the last good ones stay.
+func reloadOnHangup(ctx context.Context, path string, server *front.Server, logger *logrus.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	var tasks conc.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	tasks.Go(func() {
+		for {
+			select {
+			case <-hangups:
+			case <-ctx.Done():
+				return
+			}
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				logger.WithError(err).Error("The settings can't be used; the last good ones stay in force.")
+				continue
+			}
+			server.Reload(settings)
+		}
+	})
+	return func() {
+		cancel()
+		tasks.Wait()
+	}
+}
--- a/front/leave.go
+++ b/front/leave.go
@@ -21,7 +21,7 @@
 	s.leaving.Store(true)
 	s.heart.Leave()
 	time.Sleep(staleFactor * s.lookupTTL())
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.settings.Bounds().GracePeriod()-lastMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.settings().Bounds().GracePeriod()-lastMargin))
 	defer cancel()
 	err := clients.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/front/lookup.go
+++ b/front/lookup.go
@@ -21,7 +21,7 @@
 
 // lookupTTL returns how long an answer to a look-up may be used.
 func (s *Server) lookupTTL() time.Duration {
-	return min(lookupTTLMax, s.settings.Bounds().LookupTTLMax(), s.settings.Bounds().GracePeriod()/(2*staleFactor))
+	return min(lookupTTLMax, s.settings().Bounds().LookupTTLMax(), s.settings().Bounds().GracePeriod()/(2*staleFactor))
 }
 
 // serveLookup tells a client where to connect: to the instances of this
@@ -34,8 +34,8 @@
 	}
 	s.stats.lookups.Inc()
 	addresses := s.mates.Addresses()
-	if (s.Ready() || len(addresses) == 0) && !slices.Contains(addresses, s.settings.Addresses().Clients()) {
-		addresses = append(addresses, s.settings.Addresses().Clients())
+	if (s.Ready() || len(addresses) == 0) && !slices.Contains(addresses, s.settings().Addresses().Clients()) {
+		addresses = append(addresses, s.settings().Addresses().Clients())
 	}
 	addresses = addresses[:min(len(addresses), addressesMax)]
 	if err := platform.WriteLookup(w, addresses, s.lookupTTL()); err != nil {
--- a/front/send.go
+++ b/front/send.go
@@ -101,16 +101,16 @@
 // coldShare returns how many requests a second this entry may send to a cold
 // target.
 func (s *Server) coldShare(m *fleet.Member) int64 {
-	if m.Zone() != s.settings.Zone() {
+	if m.Zone() != s.settings().Zone() {
 		return 0
 	}
 	service, found := s.feed.Table().Service(m.Service())
 	if !found {
 		return 0
 	}
-	bounds := s.settings.Bounds()
+	bounds := s.settings().Bounds()
 	bound := pace.ColdBound(service.ColdRate(), bounds.ColdFactor(), bounds.ColdSlack())
-	return pace.ColdShare(bound, s.settings.Instance(), s.mates.Sharers(), m.Target())
+	return pace.ColdShare(bound, s.settings().Instance(), s.mates.Sharers(), m.Target())
 }
 
 // send hands the request to a target and takes in what becomes of it. An
--- a/front/server.go
+++ b/front/server.go
@@ -35,20 +35,20 @@
 
 // Server is one process on the users' platform.
 type Server struct {
-	settings *platform.Settings
-	metrics  string
-	now      func() time.Time
-	log      *logrus.Logger
-	stats    *stats
-	self     wire.Hello
-	store    *platform.Store
-	pool     *peers.Pool
-	heart    *peers.Heart
-	mates    *peers.Mates
-	feed     *feed.Feed
-	chooser  *pick.Chooser
-	cold     *pace.Cold
-	clients  *clients
+	current atomic.Pointer[platform.Settings]
+	metrics string
+	now     func() time.Time
+	log     *logrus.Logger
+	stats   *stats
+	self    wire.Hello
+	store   *platform.Store
+	pool    *peers.Pool
+	heart   *peers.Heart
+	mates   *peers.Mates
+	feed    *feed.Feed
+	chooser *pick.Chooser
+	cold    *pace.Cold
+	clients *clients
 
 	leaving atomic.Bool
 	active  atomic.Int64
@@ -67,9 +67,10 @@
 	heart := peers.NewHeart(self, pool, now)
 	mates := peers.NewMates(self, pool, heart, now)
 	s := &Server{
-		settings: settings, metrics: metrics, now: now, log: log, stats: newStats(), self: self, pool: pool,
+		metrics: metrics, now: now, log: log, stats: newStats(), self: self, pool: pool,
 		heart: heart, mates: mates, cold: pace.NewCold(), clients: newClients(), budgets: map[place.Service]*pace.Retries{},
 	}
+	s.current.Store(settings)
 	s.ending, s.giveUp = context.WithCancel(context.Background())
 	s.store = platform.NewStore(settings.Store(), s.stats.call)
 	s.feed = feed.New(settings, s.store, mates, now, logs.Part(log, "feed"))
@@ -87,6 +88,17 @@
 	})
 }
 
+func (s *Server) settings() *platform.Settings { return s.current.Load() }
+
+// Reload puts new settings into force, except for the addresses and the name of
+// the instance, which hold until the process ends.
+func (s *Server) Reload(settings *platform.Settings) {
+	before := s.current.Swap(settings)
+	s.log.WithFields(logrus.Fields{
+		"bounds_changed": settings.Bounds() != before.Bounds(), "addresses_changed": settings.Addresses() != before.Addresses(),
+	}).Info("The settings were read anew.")
+}
+
 // Ready tells whether clients may be sent to this process.
 func (s *Server) Ready() bool { return !s.leaving.Load() && s.feed.Ready() }
 
@@ -96,7 +108,7 @@
 	defer s.mu.Unlock()
 	budget, found := s.budgets[service]
 	if !found {
-		bounds := s.settings.Bounds()
+		bounds := s.settings().Bounds()
 		budget = pace.NewRetries(bounds.RetryRatio(), bounds.RetryWindow())
 		s.budgets[service] = budget
 	}
@@ -105,7 +117,7 @@
 
 // retrySlack returns this entry's part of the fleet's slack of retries.
 func (s *Server) retrySlack() float64 {
-	return s.settings.Bounds().RetrySlack() / float64(s.mates.Size())
+	return s.settings().Bounds().RetrySlack() / float64(s.mates.Size())
 }
 
 // Handle answers another instance. It implements wire.Handler.
@@ -130,7 +142,7 @@
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (s *Server) Run(ctx context.Context) error {
-	inner, err := net.Listen("tcp", s.settings.Addresses().Peers())
+	inner, err := net.Listen("tcp", s.settings().Addresses().Peers())
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
 	}
@@ -143,7 +155,7 @@
 	tasks.Go(func() { s.heart.Run(running) })
 	tasks.Go(func() { s.register(running) })
 	tasks.Go(func() { s.runProbes(running) })
-	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings.Store()}).Info("The process starts.")
+	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings().Store()}).Info("The process starts.")
 	err = s.serve(ctx)
 	stop()
 	server.Close()
@@ -168,7 +180,7 @@
 
 // serve opens the ports, the clients' own only once the process is ready.
 func (s *Server) serve(ctx context.Context) error {
-	addresses := s.settings.Addresses()
+	addresses := s.settings().Addresses()
 	ports := []port{{"readiness", addresses.Readiness(), http.HandlerFunc(s.serveReadiness)}}
 	if addresses.Lookups() != "" {
 		ports = append(ports, port{"look-ups", addresses.Lookups(), http.HandlerFunc(s.serveLookup)})
@@ -238,7 +250,7 @@
 // register makes this instance known to the others by an object in the store.
 // It stays there when the process ends: the next one has the same addresses.
 func (s *Server) register(ctx context.Context) {
-	own := platform.NewInstance(s.self.Instance, s.self.Zone, s.settings.Addresses().Clients(), s.settings.Addresses().Peers())
+	own := platform.NewInstance(s.self.Instance, s.self.Zone, s.settings().Addresses().Clients(), s.settings().Addresses().Peers())
 	for {
 		if s.feed.Registered(own) {
 			return
