--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,217 @@
+package feed_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/feed"
+	"github.com/endivechute/endivechute/logs"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/platform/fakes"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// zone is a fake of the other instances: their feeds, called directly.
+type zone struct {
+	self  place.Instance
+	live  []place.Instance
+	far   []place.Instance
+	feeds *group
+}
+
+// group holds the feeds that can be reached.
+type group struct {
+	mu    sync.Mutex
+	feeds map[place.Instance]*feed.Feed
+}
+
+func (g *group) set(name place.Instance, f *feed.Feed) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.feeds == nil {
+		g.feeds = map[place.Instance]*feed.Feed{}
+	}
+	g.feeds[name] = f
+}
+
+func (g *group) get(name place.Instance) *feed.Feed {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.feeds[name]
+}
+
+func (z *zone) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	peer := z.feeds.get(instance)
+	if peer == nil {
+		return nil, errors.Newf("instance %s can't be reached", instance)
+	}
+	return peer.Follow(ctx, message.(*wire.Follow)), nil
+}
+
+func (z *zone) Live() []place.Instance    { return z.live }
+func (z *zone) Others() []place.Instance  { return z.far }
+func (z *zone) Learn([]platform.Instance) {}
+
+func settings(t *testing.T, name, address string) *platform.Settings {
+	t.Helper()
+	s, err := platform.ReadSettings(strings.NewReader(fakes.Settings(name, "a1", "a", address, 20000)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func start(t *testing.T, store *fakes.Store, name string, peers *zone) *feed.Feed {
+	t.Helper()
+	set := settings(t, name, store.Address())
+	client := platform.NewStore(store.Address(), func(string, time.Duration) {})
+	f := feed.New(set, client, peers, time.Now, logs.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		client.Close()
+	})
+	return f
+}
+
+// within fails the test if the condition does not come true in the time.
+func within(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	const pause = 5 * time.Millisecond
+	for end := time.Now().Add(limit); !condition(); time.Sleep(pause) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+	}
+}
+
+func newStore(t *testing.T) *fakes.Store {
+	t.Helper()
+	store := fakes.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("config", "main", fakes.Config(1, 1000))
+	return store
+}
+
+const entry = `{"service":"svc","address":"127.0.0.1:9","zone":"a1","max_concurrency":4,"state":"ready","cold_remaining_ms":0,"born":1}`
+
+func version(f *feed.Feed) uint64 {
+	if table := f.Table(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+func TestFollowsTheStore(t *testing.T) {
+	store := newStore(t)
+	store.Put("servers", "t1", entry)
+	store.Put("servers", "broken", `{"service":7}`)
+	store.Put("servers", "odd", `"text"`)
+	f := start(t, store, "i1", &zone{live: []place.Instance{"i1"}})
+	within(t, 2*time.Second, "ready", f.Ready)
+	if f.View().Size() != 1 {
+		t.Errorf("%d targets are known, want the one whose entry can be read", f.View().Size())
+	}
+	// The shortest bound of the contracts is 2 s.
+	const bound = 2 * time.Second
+	store.Put("config", "main", fakes.Config(5, 1000))
+	within(t, bound, "a new configuration", func() bool { return version(f) == 5 })
+	store.Put("config", "main", fakes.Config(4, 1000))
+	store.Put("config", "main", `{"version":6,"hosts":[{"host":"x","paths":[{"name":"r"}]}]}`)
+	store.Put("servers", "t1", strings.Replace(entry, "ready", "draining", 1))
+	within(t, bound, "a leaving target", func() bool { return f.View().Size() == 0 })
+	if version(f) != 5 {
+		t.Errorf("version %d is in force, want 5: neither an older nor a broken one", version(f))
+	}
+	store.Put("servers", "t1", entry)
+	within(t, bound, "a target", func() bool { return f.View().Size() == 1 })
+	store.Put("evacuations", "a1", `{}`)
+	within(t, bound, "an evacuated zone", func() bool { return f.View().Size() == 0 })
+	store.Delete("evacuations", "a1")
+	within(t, bound, "a zone that is taken back", func() bool { return f.View().Size() == 1 })
+	store.Delete("servers", "t1")
+	within(t, bound, "a removed target", func() bool { return f.View().Size() == 0 })
+}
+
+// TestDiscardedHistory: the store discards its history, cuts the watches of the
+// targets and leaves those of the other kinds waiting for a change that they
+// will not hear of.
+func TestDiscardedHistory(t *testing.T) {
+	store := newStore(t)
+	store.Put("servers", "t1", entry)
+	f := start(t, store, "i1", &zone{live: []place.Instance{"i1"}})
+	within(t, 2*time.Second, "ready", f.Ready)
+	time.Sleep(200 * time.Millisecond)
+	store.Discard([]string{"config", "evacuations", "endivechute-instances"}, func(put func(kind, name, spec string), remove func(kind, name string)) {
+		put("config", "main", fakes.Config(2, 1000))
+		put("evacuations", "a1", `{}`)
+		remove("servers", "t1")
+	})
+	within(t, 2*time.Second, "what was discarded", func() bool {
+		return version(f) == 2 && f.View().Size() == 0 && slices.Equal(f.View().Evacuated(), []place.Zone{"a/a1"})
+	})
+}
+
+// TestRefusedByTheStore: the store turns one instance away, which then learns
+// of changes from another.
+func TestRefusedByTheStore(t *testing.T) {
+	for name, status := range map[string]int{"busy": http.StatusServiceUnavailable, "too many": http.StatusTooManyRequests} {
+		t.Run(name, func(t *testing.T) {
+			// Two stores with the same content stand for one that serves i2 and
+			// turns i1 away.
+			first, second := newStore(t), newStore(t)
+			feeds := &group{}
+			feeds.set("i2", start(t, second, "i2", &zone{live: []place.Instance{"i2"}, feeds: feeds}))
+			f := start(t, first, "i1", &zone{live: []place.Instance{"i1"}, far: []place.Instance{"i2"}, feeds: feeds})
+			within(t, 2*time.Second, "ready", f.Ready)
+			first.Refuse(status)
+			second.Put("config", "main", fakes.Config(3, 1000))
+			within(t, 2*time.Second, "a configuration from another instance", func() bool { return version(f) == 3 })
+			within(t, 2*time.Second, "recent knowledge", func() bool { return f.Age() < time.Second })
+			calls := first.Calls()
+			time.Sleep(2 * time.Second)
+			// At most one call for each pause, and one that may be under way.
+			if made := first.Calls() - calls; made > 8 {
+				t.Errorf("%d calls were made in 2 s to a store that turns them away", made)
+			}
+		})
+	}
+}
+
+// TestFollowsTheZone: one instance of a zone watches the store, the other
+// follows it, and turns to the store when the first is gone.
+func TestFollowsTheZone(t *testing.T) {
+	store := newStore(t)
+	feeds := &group{}
+	live := []place.Instance{"i1", "i2"}
+	for _, name := range live {
+		feeds.set(name, start(t, store, string(name), &zone{live: live, feeds: feeds}))
+	}
+	one, two := feeds.get("i1"), feeds.get("i2")
+	within(t, 3*time.Second, "ready", func() bool { return one.Ready() && two.Ready() })
+	sources := []string{one.Source(), two.Source()}
+	if slices.Contains(sources, "store") == (sources[0] == sources[1]) {
+		t.Errorf("the sources are %v, want the store for one of them", sources)
+	}
+	store.Put("config", "main", fakes.Config(2, 1000))
+	within(t, 2*time.Second, "a configuration", func() bool { return version(one) == 2 && version(two) == 2 })
+	follower := one
+	if sources[0] == "store" {
+		follower = two
+	}
+	feeds.set(place.Instance(follower.Source()), nil)
+	store.Put("config", "main", fakes.Config(3, 1000))
+	within(t, 2*time.Second, "a configuration without the instance that was followed", func() bool { return version(follower) == 3 })
+}
