Bound the log of the front and write it aside

Cause: under a grey service one process wrote 270 lines a second, and a reader that stops would have stopped requests (TestAsyncNeverBlocks).

--- a/cmd/endivechute/front.go
+++ b/cmd/endivechute/front.go
@@ -34,7 +34,9 @@
 		if err := noArgs(args); err != nil {
 			return err
 		}
-		logger, err := logs.New(os.Stdout, *level, *format)
+		out := logs.NewAsync(os.Stdout)
+		defer out.Close()
+		logger, err := logs.New(out, *level, *format)
 		if err != nil {
 			return errors.Mark(err, setup.ErrUsage)
 		}
--- a/front/request.go
+++ b/front/request.go
@@ -37,6 +37,8 @@
 	// deadline is when nobody waits any more: the client's own or the route's.
 	deadline time.Time
 	table    *route.Table
+	// sampled tells that the log has a line on a request that went well.
+	sampled bool
 }
 
 // ServeHTTP answers one request of a client.
@@ -52,7 +54,7 @@
 	}
 	answer, err := s.run(r.Context(), q)
 	if r.Context().Err() != nil && err != nil {
-		s.note(q, "gone", err)
+		s.note(q, answerGone, err)
 		return
 	}
 	if err != nil {
@@ -88,7 +90,7 @@
 		s.refuse(w, q, errs.NotRun(errs.ReasonNotReady, unreadyComeBack, "no route of version %d matches host %s and path %s, but that is %v old", q.table.Version(), q.http.Host, path, age))
 		return
 	}
-	s.note(q, "denied", errs.NotRun(errs.ReasonNoService, 0, "no route of version %d matches host %s and path %s", q.table.Version(), q.http.Host, path))
+	s.note(q, answerDenied, errs.NotRun(errs.ReasonNoService, 0, "no route of version %d matches host %s and path %s", q.table.Version(), q.http.Host, path))
 	platform.WriteRefusal(w, q.head.ID(), http.StatusNotFound, 0)
 }
 
@@ -102,12 +104,12 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.http.Body, int64(most)))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
-		s.note(q, "denied", errs.NotRun(errs.ReasonBadRequest, 0, "the body is longer than %d bytes", most))
+		s.note(q, answerDenied, errs.NotRun(errs.ReasonBadRequest, 0, "the body is longer than %d bytes", most))
 		platform.WriteRefusal(w, q.head.ID(), http.StatusRequestEntityTooLarge, 0)
 		return false
 	}
 	if err != nil {
-		s.note(q, "gone", errs.NotRun(errs.ReasonCanceled, 0, "the body broke off: %v", err))
+		s.note(q, answerGone, errs.NotRun(errs.ReasonCanceled, 0, "the body broke off: %v", err))
 		w.Header().Set("Connection", "close")
 		platform.WriteRefusal(w, q.head.ID(), http.StatusBadRequest, 0)
 		return false
@@ -129,7 +131,7 @@
 	w.WriteHeader(a.Status())
 	_, err := w.Write(a.Body())
 	if err != nil {
-		s.note(q, "gone", errors.Wrap(err, "write the answer"))
+		s.note(q, answerGone, errors.Wrap(err, "write the answer"))
 		return
 	}
 	s.answered(q, a.Status())
@@ -139,7 +141,7 @@
 // one that no target ran, and none will, is told when to come back.
 func (s *Server) refuse(w http.ResponseWriter, q *request, err error) {
 	refusal := errs.AsRefusal(err)
-	s.note(q, "refused", refusal)
+	s.note(q, answerRefused, refusal)
 	status, comeBack := http.StatusBadGateway, time.Duration(0)
 	switch {
 	case refusal.Verdict() == errs.VerdictNotRun:
--- a/front/server.go
+++ b/front/server.go
@@ -49,6 +49,7 @@
 	chooser *pick.Chooser
 	cold    *pace.Cold
 	clients *clients
+	quota   *logs.Quota
 
 	leaving atomic.Bool
 	active  atomic.Int64
@@ -68,7 +69,7 @@
 	mates := peers.NewMates(self, pool, heart, now)
 	s := &Server{
 		metrics: metrics, now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heart: heart, mates: mates, cold: pace.NewCold(), clients: newClients(), budgets: map[place.Service]*pace.Retries{},
+		heart: heart, mates: mates, cold: pace.NewCold(), clients: newClients(), quota: logs.NewQuota(), budgets: map[place.Service]*pace.Retries{},
 	}
 	s.current.Store(settings)
 	s.ending, s.giveUp = context.WithCancel(context.Background())
@@ -155,6 +156,7 @@
 	tasks.Go(func() { s.heart.Run(running) })
 	tasks.Go(func() { s.register(running) })
 	tasks.Go(func() { s.runProbes(running) })
+	tasks.Go(func() { s.runLeftOut(running) })
 	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings().Store()}).Info("The process starts.")
 	err = s.serve(ctx)
 	stop()
--- a/front/stats.go
+++ b/front/stats.go
@@ -16,6 +16,7 @@
 	callTime prometheus.Histogram
 	lookups  prometheus.Counter
 	probes   *prometheus.CounterVec
+	leftOut  *prometheus.CounterVec
 }
 
 // latencyBuckets cover the time-outs that routes have, in seconds.
@@ -46,8 +47,11 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "endivechute_probes_total", Help: "Probes of targets that could not be reached, by what they showed.",
 		}, []string{"outcome"}),
+		leftOut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "endivechute_log_lines_left_out_total", Help: "Lines that the bounds of the log left out, by class.",
+		}, []string{"class"}),
 	}
-	s.registry.MustRegister(s.requests, s.sends, s.latency, s.calls, s.callTime, s.lookups, s.probes)
+	s.registry.MustRegister(s.requests, s.sends, s.latency, s.calls, s.callTime, s.lookups, s.probes, s.leftOut)
 	return s
 }
 
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -88,6 +88,7 @@
 	estimate Estimate
 	distance Distance
 	load     float64
+	loadAge  time.Duration
 }
 
 // Member returns the chosen target.
@@ -102,6 +103,12 @@
 // Load returns how many requests were taken to run or wait at the target.
 func (s *Send) Load() float64 { return s.load }
 
+// At returns when the request was sent.
+func (s *Send) At() time.Time { return s.at }
+
+// LoadAge returns how old the target's last word on its load was.
+func (s *Send) LoadAge() time.Duration { return s.loadAge }
+
 // Familiar tells whether the target was taken to know the object.
 func (s *Send) Familiar() bool { return s.familiar }
 
@@ -163,6 +170,9 @@
 	}
 	l.mu.Lock()
 	l.running[send] = struct{}{}
+	if !l.reportedAt.IsZero() {
+		send.loadAge = now.Sub(l.reportedAt)
+	}
 	l.mu.Unlock()
 	if send.keyed {
 		s.objects.note(object, chosen.Member.Process(), now)
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -29,8 +29,11 @@
 		if answer, reusable, err = readOne(reader, r); err != nil {
 			return answer, false, err
 		}
-		if r.echo.name == "" || answer.Header(r.echo.name) == r.echo.value {
+		switch echo := answer.Header(r.echo.name); {
+		case r.echo.name == "", echo == r.echo.value:
 			return answer, reusable && stray == 0, nil
+		case echo == "":
+			return Answer{}, false, errors.Wrapf(errCut, "an answer with status %d does not say which request it belongs to", answer.status)
 		}
 	}
 	return Answer{}, false, errors.Wrapf(errCut, "%d answers came that belong to other requests", strayAnswersMax)
