--- a/feed/feed.go
+++ b/feed/feed.go
@@ -30,6 +30,8 @@
 	Live() []place.Instance
 	// Others returns the known instances of other availability zones.
 	Others() []place.Instance
+	// Find returns the instances that answer at the addresses.
+	Find(ctx context.Context, addresses []string) []place.Instance
 	// Learn takes in the instances that are registered at the platform.
 	Learn(instances []platform.Instance)
 }
@@ -38,6 +40,8 @@
 // it. It is safe for use by several goroutines.
 type Feed struct {
 	self    place.Instance
+	seeds   []string
+	isSeed  bool
 	zones   map[string]place.Zone
 	store   *platform.Store
 	peers   Peers
@@ -63,7 +67,7 @@
 // New makes a Feed that knows nothing yet.
 func New(settings *platform.Settings, store *platform.Store, peers Peers, now func() time.Time, log *logrus.Logger) *Feed {
 	f := &Feed{
-		self: settings.Instance(), zones: settings.Zones(), store: store, peers: peers, now: now, log: log,
+		self: settings.Instance(), seeds: settings.Seeds(), isSeed: settings.IsSeed(), zones: settings.Zones(), store: store, peers: peers, now: now, log: log,
 		mirrors: map[string]*mirror{}, refused: map[place.Target]string{}, changed: make(chan struct{}),
 	}
 	for _, kind := range kinds {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -61,6 +61,8 @@
 func (z *zone) Others() []place.Instance  { return z.far }
 func (z *zone) Learn([]platform.Instance) {}
 
+func (z *zone) Find(context.Context, []string) []place.Instance { return nil }
+
 func settings(t *testing.T, name, address string) *platform.Settings {
 	t.Helper()
 	s, err := platform.ReadSettings(strings.NewReader(fakes.Settings(name, "a1", "a", address, 20000)))
--- a/feed/source.go
+++ b/feed/source.go
@@ -49,6 +49,10 @@
 	// store. The pause doubles with each failure.
 	backoffLeast = 200 * time.Millisecond
 	backoffMost  = time.Second
+	// joinTime is how long a new process tries to learn from a seed before it
+	// reads the store, and joinPause the time between two attempts.
+	joinTime  = 1500 * time.Millisecond
+	joinPause = 150 * time.Millisecond
 	// rescueInterval is the time between two questions to other instances
 	// while the store doesn't answer.
 	rescueInterval = 250 * time.Millisecond
@@ -168,8 +172,27 @@
 	return pause
 }
 
+// join takes in what a seed knows, so that a new process need not read the
+// whole from the store. The seeds themselves don't wait for one another.
+func (f *Feed) join(ctx context.Context) {
+	if f.isSeed || len(f.seeds) == 0 {
+		return
+	}
+	for end := f.now().Add(joinTime); f.now().Before(end); {
+		for _, seed := range f.peers.Find(ctx, f.seeds) {
+			if err := f.pull(ctx, seed, 0, ageMax); err == nil && f.Ready() {
+				return
+			}
+		}
+		if !wait.For(ctx, joinPause) {
+			return
+		}
+	}
+}
+
 // runSource watches the store or follows the instance of the zone that does.
 func (f *Feed) runSource(ctx context.Context) {
+	f.join(ctx)
 	var directUntil time.Time
 	for ctx.Err() == nil {
 		chief := f.chief()
@@ -361,7 +384,11 @@
 // rescue asks a few instances until one knows what the store says.
 func (f *Feed) rescue(ctx context.Context) error {
 	err := errors.New("no other instance is known")
-	for _, peer := range f.rescuers() {
+	peers := f.rescuers()
+	if len(peers) == 0 {
+		peers = f.peers.Find(ctx, f.seeds)
+	}
+	for _, peer := range peers {
 		if err = f.pull(ctx, peer, 0, rescueAfter); err == nil {
 			return nil
 		}
--- a/peers/mates.go
+++ b/peers/mates.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/wire"
@@ -25,6 +28,8 @@
 
 	mu        sync.Mutex
 	instances map[place.Instance]mate
+	// seeds are instances that were found at the addresses of the settings.
+	seeds map[place.Instance]string
 }
 
 type mate struct {
@@ -34,7 +39,10 @@
 
 // NewMates makes Mates without instances.
 func NewMates(self wire.Hello, pool *Pool, heart *Heart, now func() time.Time) *Mates {
-	return &Mates{self: self, pool: pool, heart: heart, now: now, instances: map[place.Instance]mate{}}
+	return &Mates{
+		self: self, pool: pool, heart: heart, now: now,
+		instances: map[place.Instance]mate{}, seeds: map[place.Instance]string{},
+	}
 }
 
 // Call sends a message to an instance and waits for its answer.
@@ -48,7 +56,7 @@
 	defer m.mu.Unlock()
 	before := m.instances
 	m.instances = make(map[place.Instance]mate, len(instances))
-	addresses := make(map[place.Instance]string, len(instances))
+	addresses := maps.Clone(m.seeds)
 	var zone []place.Instance
 	for _, i := range instances {
 		if i.Name() == m.self.Instance {
@@ -68,6 +76,30 @@
 	m.heart.SetPeers(zone)
 }
 
+// Find asks who answers at the addresses of the settings and returns the
+// instances, which can be called from then on.
+func (m *Mates) Find(ctx context.Context, addresses []string) []place.Instance {
+	var tasks conc.WaitGroup
+	for _, address := range addresses {
+		tasks.Go(func() {
+			if hello, err := m.pool.Discover(ctx, address); err == nil && hello.Instance != m.self.Instance {
+				m.mu.Lock()
+				m.seeds[hello.Instance] = address
+				m.mu.Unlock()
+			}
+		})
+	}
+	tasks.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := maps.Clone(m.seeds)
+	for name, i := range m.instances {
+		known[name] = i.instance.Peers()
+	}
+	m.pool.SetAddresses(known)
+	return slices.Collect(maps.Keys(m.seeds))
+}
+
 // Live returns the instances of this availability zone that are heard and don't
 // leave, this one among them unless it leaves itself, in the order of their
 // names.
@@ -111,9 +143,16 @@
 	return addresses
 }
 
-// Others returns the known instances of other availability zones.
+// Others returns the known instances of other availability zones, and the seeds
+// while no instance is known.
 func (m *Mates) Others() []place.Instance {
-	return m.names(func(_ place.Instance, known mate) bool { return known.instance.Zone() != m.self.Zone })
+	others := m.names(func(_ place.Instance, known mate) bool { return known.instance.Zone() != m.self.Zone })
+	if len(others) > 0 {
+		return others
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.seeds))
 }
 
 // Size returns how many instances are registered, this one among them.
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -77,6 +77,22 @@
 	return answer, errors.Wrapf(err, "call instance %s", instance)
 }
 
+// Discover asks who answers at an address.
+func (p *Pool) Discover(ctx context.Context, address string) (wire.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return wire.Hello{}, err
+	}
+	client, err := wire.NewClient(conn, p.self)
+	if err != nil {
+		return wire.Hello{}, errors.Wrapf(err, "ask who answers at %s", address)
+	}
+	defer client.Close()
+	return client.Peer(), nil
+}
+
 // Close ends every connection.
 func (p *Pool) Close() { p.SetAddresses(nil) }
 
