Wait for the zone before watching the store, and never longer than its history

Cause 1: after learning from a seed, every process began watches before it had heard the others of its zone. Cause 2: a watch waited 25 s where the store keeps 20 s, so that each quiet kind was listed anew every 25 s. Ruled out: reading with allow_stale (the joining calls are gone altogether).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,15 +39,17 @@
 // Feed is this process's copy of the platform's objects, and what is made from
 // it. It is safe for use by several goroutines.
 type Feed struct {
-	self    place.Instance
-	seeds   []string
-	isSeed  bool
-	zones   map[string]place.Zone
-	store   *platform.Store
-	peers   Peers
-	now     func() time.Time
-	log     *logrus.Logger
-	mirrors map[string]*mirror
+	self   place.Instance
+	seeds  []string
+	isSeed bool
+	// watchWait is how long one watch waits for a change.
+	watchWait time.Duration
+	zones     map[string]place.Zone
+	store     *platform.Store
+	peers     Peers
+	now       func() time.Time
+	log       *logrus.Logger
+	mirrors   map[string]*mirror
 
 	table atomic.Pointer[route.Table]
 	view  atomic.Pointer[fleet.View]
@@ -68,7 +70,8 @@
 func New(settings *platform.Settings, store *platform.Store, peers Peers, now func() time.Time, log *logrus.Logger) *Feed {
 	f := &Feed{
 		self: settings.Instance(), seeds: settings.Seeds(), isSeed: settings.IsSeed(), zones: settings.Zones(), store: store, peers: peers, now: now, log: log,
-		mirrors: map[string]*mirror{}, refused: map[place.Target]string{}, changed: make(chan struct{}),
+		watchWait: min(watchWaitMax, time.Duration(watchOfHistory*float64(settings.History()))),
+		mirrors:   map[string]*mirror{}, refused: map[place.Target]string{}, changed: make(chan struct{}),
 	}
 	for _, kind := range kinds {
 		f.mirrors[kind] = newMirror(kind)
--- a/feed/source.go
+++ b/feed/source.go
@@ -20,8 +20,12 @@
 
 // Times of following.
 const (
-	// watchWait is how long one watch waits for a change. Each one is priced.
-	watchWait = 25 * time.Second
+	// watchWaitMax is how long one watch waits for a change at most: the store
+	// allows 30 s, and every call is priced.
+	watchWaitMax = 25 * time.Second
+	// watchOfHistory is the part of the store's history that a watch may wait.
+	// One that waits longer finds its beginning discarded.
+	watchOfHistory = 0.75
 	// shortWait is how long the watch of the targets waits. It shows whether
 	// the store still answers, and a watch that the store has forgotten ends
 	// within it.
@@ -49,10 +53,11 @@
 	// store. The pause doubles with each failure.
 	backoffLeast = 200 * time.Millisecond
 	backoffMost  = time.Second
-	// joinTime is how long a new process tries to learn from a seed before it
-	// reads the store, and joinPause the time between two attempts.
+	// joinTime is how long a new process learns from a seed before it turns to
+	// the store: three heartbeats of the zone. joinPause is the time between
+	// two questions.
 	joinTime  = 1500 * time.Millisecond
-	joinPause = 150 * time.Millisecond
+	joinPause = 200 * time.Millisecond
 	// rescueInterval is the time between two questions to other instances
 	// while the store doesn't answer.
 	rescueInterval = 250 * time.Millisecond
@@ -173,15 +178,21 @@
 }
 
 // join takes in what a seed knows, so that a new process need not read the
-// whole from the store. The seeds themselves don't wait for one another.
+// whole from the store, and goes on so until it hears others of its zone, one
+// of which may watch the store already. The seeds don't wait for one another.
 func (f *Feed) join(ctx context.Context) {
 	if f.isSeed || len(f.seeds) == 0 {
 		return
 	}
-	for end := f.now().Add(joinTime); f.now().Before(end); {
-		for _, seed := range f.peers.Find(ctx, f.seeds) {
-			if err := f.pull(ctx, seed, 0, ageMax); err == nil && f.Ready() {
-				return
+	end := f.now().Add(joinTime)
+	var seeds []place.Instance
+	for f.now().Before(end) && len(f.peers.Live()) < 2 {
+		if len(seeds) == 0 {
+			seeds = f.peers.Find(ctx, f.seeds)
+		}
+		for _, seed := range seeds {
+			if f.pull(ctx, seed, 0, ageMax) == nil {
+				break
 			}
 		}
 		if !wait.For(ctx, joinPause) {
@@ -284,7 +295,7 @@
 	defer cancel(nil)
 	var tasks conc.WaitGroup
 	for _, kind := range kinds {
-		patience := watchWait
+		patience := f.watchWait
 		if kind == platform.KindTargets {
 			patience = shortWait
 		}
