Test the decisions against plain rules, and mend what that found

Found by fuzz tests: the share of requests to a cold target took from the library of rendezvous hashes, whose Remove runs out of its slice (an entry of a large zone would have failed on each request to a cold target); the rank is counted directly now.

--- /dev/null
+++ b/feed/mirror_test.go
@@ -0,0 +1,60 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/platform"
+)
+
+// TestMirrorFollows drives a copy by any mix of lists and changes from the store
+// and from another copy, late ones too, and compares it with the store whenever
+// its revision is that of the store. It must never go back.
+func TestMirrorFollows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newMirror("k")
+		store.reset(nil, 1)
+		history := map[uint64][]platform.Object{1: nil}
+		first, second := newMirror("k"), newMirror("k")
+		revision := uint64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			target, source := first, store
+			if rapid.Bool().Draw(t, "second") {
+				target = second
+			}
+			if rapid.Bool().Draw(t, "from the other") && target == second {
+				source = first
+			}
+			before := target.at()
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				revision++
+				name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
+				o := platform.NewObject(name, revision, []byte(`{}`), rapid.Bool().Draw(t, "deleted"))
+				store.apply([]platform.Object{o}, revision-1, revision)
+				history[revision] = store.list()
+			case 1:
+				at := rapid.Uint64Range(1, revision).Draw(t, "list of")
+				target.reset(history[at], at)
+			default:
+				after := target.at()
+				objects, to, whole, known := source.since(after)
+				if known && whole {
+					target.reset(objects, to)
+				} else if known {
+					target.apply(objects, after, to)
+				}
+			}
+			if target.at() < before {
+				t.Fatalf("the copy went back from revision %d to %d", before, target.at())
+			}
+			for name, m := range map[string]*mirror{"first": first, "second": second} {
+				if at := m.at(); at > 0 && fmt.Sprint(m.list()) != fmt.Sprint(history[at]) {
+					t.Fatalf("%s at revision %d holds %v, the store held %v", name, at, m.list(), history[at])
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/front/tries_test.go
@@ -0,0 +1,78 @@
+package front
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/pace"
+	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/route"
+	"github.com/endivechute/endivechute/sender"
+	"time"
+)
+
+// TestTries sends a request to targets that behave in any way, until it is
+// settled, and counts independently what could have run.
+func TestTries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		attempts := rapid.IntRange(1, 4).Draw(t, "attempts")
+		table := route.New(1, []route.Spec{{
+			Host: "h", Prefix: "/", Idempotent: idempotent, Attempts: attempts, Parts: []route.Part{route.NewPart("s", 1)},
+		}}, nil, route.Limits{})
+		r, _ := table.Find("h", "/")
+		try := &tries{request: &request{route: r}}
+		reached, mayHaveRun := 0, 0
+		for step := 0; !try.settled(); step++ {
+			outcome := rapid.SampledFrom([]string{"answer", "failure", "refused", "no connection", "lost", "time over"}).Draw(t, "outcome")
+			answer, err := sender.Answer{}, error(nil)
+			switch outcome {
+			case "answer":
+				answer = sender.NewAnswer(200)
+			case "failure":
+				answer = sender.NewAnswer(500)
+			case "refused":
+				err = errs.NotRun(errs.ReasonTargetBusy, time.Second, "full")
+			case "no connection":
+				err = errs.NotRun(errs.ReasonTargetError, time.Second, "refused")
+			case "lost":
+				err = errs.MayHaveRun(errs.ReasonTargetError, "lost")
+			case "time over":
+				err = errs.MayHaveRun(errs.ReasonDeadline, "over")
+			}
+			if mayHaveRun > 0 && !idempotent {
+				t.Fatal("a request that may run once is sent again after it may have run")
+			}
+			if outcome != "no connection" {
+				reached++
+			}
+			if outcome != "no connection" && outcome != "refused" {
+				mayHaveRun++
+			}
+			if reached > attempts {
+				t.Fatalf("%d targets were reached, at most %d are allowed", reached, attempts)
+			}
+			try.add(sendTo(t, step), answer, err)
+		}
+		_, err := try.end(nil)
+		if err != nil && errs.VerdictOf(err) == errs.VerdictNotRun && mayHaveRun > 0 {
+			t.Fatalf("the end is %v, though %d sends may have run", err, mayHaveRun)
+		}
+	})
+}
+
+func sendTo(t *rapid.T, step int) *pick.Send {
+	m := fleet.NewMember(fleet.Report{Target: place.Target(rune('a' + step)), Service: "s", Zone: "a/1", Slots: 1}, time.Time{})
+	send, err := pick.New("a/1", pace.NewCold(), pace.NewLeave(1)).Choose([]*fleet.Member{m}, pick.Query{
+		Service: "s", Aim: time.Second, Left: time.Minute, Allowed: func(place.Region) bool { return true },
+		ColdShare: func(*fleet.Member) int64 { return 0 },
+	}, time.Unix(1000, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return send
+}
--- a/pace/cold.go
+++ b/pace/cold.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 
 	"github.com/endivechute/endivechute/place"
 )
@@ -38,22 +37,23 @@
 	if share := whole / len(zone); share > 0 {
 		return int64(share)
 	}
-	names := make([]string, 0, len(zone))
+	ahead, own := 0, weight(self, to)
 	for _, instance := range zone {
-		names = append(names, string(instance))
-	}
-	slices.Sort(names)
-	table := rendezvous.New(names, xxhash.Sum64String)
-	for range whole {
-		chosen := table.Lookup(string(to))
-		if chosen == string(self) {
-			return 1
+		if w := weight(instance, to); w > own || (w == own && instance < self) {
+			ahead++
 		}
-		table.Remove(chosen)
+	}
+	if ahead < whole {
+		return 1
 	}
 	return 0
 }
 
+// weight is the weight of an instance in the rendezvous order for a target.
+func weight(instance place.Instance, to place.Target) uint64 {
+	return xxhash.Sum64String(string(instance) + "\x00" + string(to))
+}
+
 // Cold counts this entry's requests to cold targets.
 type Cold struct {
 	mu      sync.Mutex
--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,167 @@
+package pace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/endivechute/endivechute/pace"
+	"github.com/endivechute/endivechute/place"
+)
+
+var start = time.Unix(1000, 0)
+
+// most returns the largest number of times in any span.
+func most(times []time.Time, span time.Duration) int {
+	largest := 0
+	for i := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < span {
+				n++
+			}
+		}
+		largest = max(largest, n)
+	}
+	return largest
+}
+
+// TestWindowBound: whatever the times are, no span holds more than allowed.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = time.Second
+		limit := rapid.Int64Range(1, 10).Draw(t, "limit")
+		w, now := pace.NewWindow(span, 10), start
+		var taken []time.Time
+		for range rapid.IntRange(1, 100).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if w.TryAdd(limit, now) {
+				taken = append(taken, now)
+			}
+		}
+		if got := most(taken, span); got > int(limit) {
+			t.Fatalf("%d events in one span, at most %d are allowed", got, limit)
+		}
+	})
+}
+
+// TestColdBound: all entries of a zone together keep the bound of a cold
+// target, also if some of them have not heard of a few others yet.
+func TestColdBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 30).Draw(t, "entries")
+		bound := pace.ColdBound(rapid.Float64Range(0.5, 40).Draw(t, "rate"), 1.5, 5)
+		zone := make([]place.Instance, 0, entries)
+		for i := range entries {
+			zone = append(zone, place.Instance(fmt.Sprintf("i%02d", i)))
+		}
+		total := int64(0)
+		for _, self := range zone {
+			total += pace.ColdShare(bound, self, zone, "t1")
+		}
+		if float64(total) > bound {
+			t.Fatalf("%d requests a second by %d entries, at most %.1f are allowed", total, entries, bound)
+		}
+		if total == 0 && bound >= 4 {
+			t.Fatalf("no entry may send anything under a bound of %.1f", bound)
+		}
+	})
+}
+
+func TestColdShareOfAnotherZone(t *testing.T) {
+	if got := pace.ColdShare(100, "i9", []place.Instance{"i1", "i2"}, "t1"); got != 0 {
+		t.Errorf("an instance that is not of the zone may send %d", got)
+	}
+}
+
+// TestRetryBudget: in any window the retries of all entries stay within the
+// ratio of the requests and the slack.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			entries = 4
+			ratio   = 0.2
+			slack   = 40.0
+			window  = 10 * time.Second
+		)
+		budgets := make([]*pace.Retries, entries)
+		for i := range budgets {
+			budgets[i] = pace.NewRetries(ratio, window)
+		}
+		var requests, retries []time.Time
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			b.Request(now)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(t, "retries") {
+				if b.Take(slack/entries, now) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for i, first := range retries {
+			used, asked := 0, 0
+			for _, at := range retries[i:] {
+				if at.Sub(first) < window {
+					used++
+				}
+			}
+			for _, at := range requests {
+				if at.Sub(first) < window && first.Sub(at) <= window {
+					asked++
+				}
+			}
+			if float64(used) > ratio*float64(asked)+slack {
+				t.Fatalf("%d retries for %d requests in one window", used, asked)
+			}
+		}
+	})
+}
+
+// TestLeaveBound: an entry that would send either all or none of its requests
+// to other regions changes the share by no more than allowed from one window to
+// the next.
+func TestLeaveBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			span     = 2 * time.Second
+			shiftMax = 0.15
+			pause    = 10 * time.Millisecond
+		)
+		l := pace.NewLeave(shiftMax)
+		var shares []float64
+		now, out, all := start, 0, 0
+		window := now.Add(span)
+		wantsOut := false
+		for range 4000 {
+			now = now.Add(pause)
+			if !now.Before(window) {
+				shares = append(shares, float64(out)/float64(all))
+				out, all, window = 0, 0, window.Add(span)
+				wantsOut = rapid.Bool().Draw(t, "wants to leave")
+			}
+			outside := wantsOut
+			switch l.Next(now) {
+			case pace.Stay:
+				outside = false
+			case pace.Go:
+				outside = true
+			case pace.Free:
+			}
+			l.Ran(outside, now)
+			all++
+			if outside {
+				out++
+			}
+		}
+		for i := 1; i < len(shares); i++ {
+			if change := shares[i] - shares[i-1]; change > shiftMax || change < -shiftMax {
+				t.Fatalf("the share changes from %.2f to %.2f in one window; %.2f is allowed", shares[i-1], shares[i], shiftMax)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,202 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/pace"
+	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/place"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(name string, zone place.Zone) *fleet.Member {
+	return fleet.NewMember(fleet.Report{Target: place.Target(name), Service: "s", Zone: zone, Address: "10.0.0.1:1", Slots: 4, Born: 1}, time.Time{})
+}
+
+func newChooser() *pick.Chooser { return pick.New("a/1", pace.NewCold(), pace.NewLeave(0.15)) }
+
+func query(object string) pick.Query {
+	return pick.Query{
+		Service: "s", Object: object, Aim: 200 * time.Millisecond, Left: time.Second,
+		Allowed: func(place.Region) bool { return true }, ColdShare: func(*fleet.Member) int64 { return 0 },
+	}
+}
+
+func choose(t *testing.T, c *pick.Chooser, members []*fleet.Member, q pick.Query, now time.Time) *pick.Send {
+	t.Helper()
+	send, err := c.Choose(members, q, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return send
+}
+
+func fleetOf(zones ...place.Zone) []*fleet.Member {
+	var members []*fleet.Member
+	for i, zone := range zones {
+		members = append(members, member(fmt.Sprintf("t%d", i), zone))
+	}
+	return members
+}
+
+// TestEntriesAgree: entries of one region choose the same target for an object
+// without having heard of each other.
+func TestEntriesAgree(t *testing.T) {
+	members := fleetOf("a/1", "a/1", "a/2", "a/2", "b/1", "b/1")
+	one, two := newChooser(), pick.New("a/2", pace.NewCold(), pace.NewLeave(0.15))
+	chosen := map[place.Target]bool{}
+	for i := range 50 {
+		object := fmt.Sprint("object", i)
+		first, second := choose(t, one, members, query(object), start), choose(t, two, members, query(object), start)
+		if first.Member().Target() != second.Member().Target() {
+			t.Errorf("object %s goes to %s and to %s", object, first.Member().Target(), second.Member().Target())
+		}
+		first.Done(pick.Answered{}, nil, 0, start)
+		second.Done(pick.Answered{}, nil, 0, start)
+		chosen[first.Member().Target()] = true
+	}
+	if len(chosen) < 4 {
+		t.Errorf("50 objects go to %d targets of 6", len(chosen))
+	}
+}
+
+// TestFewObjectsMove: a target that leaves moves its own objects only.
+func TestFewObjectsMove(t *testing.T) {
+	members := fleetOf("a/1", "a/1", "a/1", "a/1")
+	for i := range 50 {
+		object := fmt.Sprint("object", i)
+		before := choose(t, newChooser(), members, query(object), start).Member().Target()
+		after := choose(t, newChooser(), members[1:], query(object), start).Member().Target()
+		if before != members[0].Target() && before != after {
+			t.Errorf("object %s moves from %s to %s, though its target is still there", object, before, after)
+		}
+	}
+}
+
+func TestFailures(t *testing.T) {
+	members := fleetOf("a/1", "a/1", "a/1")
+	tests := map[string]struct {
+		outcome pick.Outcome
+		times   int
+		left    bool
+	}{
+		"answers":       {pick.Answered{}, 1, false},
+		"unreachable":   {pick.Unreachable{}, 1, true},
+		"broken once":   {pick.Broken{}, 1, false},
+		"broken thrice": {pick.Broken{}, 3, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newChooser()
+			first := choose(t, c, members, query("x"), start)
+			first.Done(test.outcome, nil, 0, start)
+			for range test.times - 1 {
+				choose(t, c, members, query("x"), start).Done(test.outcome, nil, 0, start)
+			}
+			next := choose(t, c, members, query("x"), start)
+			if left := next.Member().Target() != first.Member().Target(); left != test.left {
+				t.Errorf("the target is left: %v, want %v", left, test.left)
+			}
+		})
+	}
+}
+
+// TestUnreachableComesBack: a target that could not be reached is probed, and
+// used again once it is well, or once another process has its name.
+func TestUnreachableComesBack(t *testing.T) {
+	members := fleetOf("a/1", "a/1")
+	book := fleet.NewBook(fleet.Times{})
+	for _, m := range members {
+		book.Put(fleet.Report{Target: m.Target(), Service: "s", Zone: "a/1", Address: m.Address(), Slots: 4, Born: 1}, start)
+	}
+	c := newChooser()
+	lost := choose(t, c, members, query("x"), start)
+	lost.Done(pick.Unreachable{}, nil, 0, start)
+	if due := c.Probes(book.View(), start); len(due) > 0 {
+		t.Error("a probe is due at once")
+	}
+	now := start.Add(time.Second)
+	if due := c.Probes(book.View(), now); len(due) != 1 || due[0].Target() != lost.Member().Target() {
+		t.Errorf("%d probes are due after a second, want one of %s", len(due), lost.Member().Target())
+	}
+	if due := c.Probes(book.View(), now); len(due) > 0 {
+		t.Error("the same probe is due again at once")
+	}
+	c.Probed(lost.Member(), true, now)
+	if next := choose(t, c, members, query("x"), now.Add(10*time.Second)); next.Member().Target() != lost.Member().Target() {
+		t.Error("a target that is well again is not used")
+	}
+}
+
+// TestSpills: requests for one object that pile up at its target spill over to
+// another in time, and no request is refused while a target could serve it.
+func TestSpills(t *testing.T) {
+	members := fleetOf("a/1", "a/1", "a/1")
+	c := newChooser()
+	counts := map[place.Target]int{}
+	refused := 0
+	for range 60 {
+		send, err := c.Choose(members, query("x"), start)
+		if err != nil {
+			refused++
+			continue
+		}
+		counts[send.Member().Target()]++
+	}
+	if len(counts) != 3 {
+		t.Errorf("the requests went to %v, want all three targets", counts)
+	}
+	if refused == 0 {
+		t.Error("no request was refused, though 60 can't be served in a second by twelve slots")
+	}
+}
+
+func TestRefusal(t *testing.T) {
+	none, cold := []*fleet.Member{}, []*fleet.Member{
+		fleet.NewMember(fleet.Report{Target: "t1", Service: "s", Zone: "a/1", Slots: 4}, start.Add(time.Second)),
+	}
+	tests := map[string]struct {
+		members []*fleet.Member
+		change  func(*pick.Query)
+		reason  errs.Reason
+	}{
+		"no target":          {none, func(*pick.Query) {}, errs.ReasonNoTarget},
+		"cold":               {cold, func(*pick.Query) {}, errs.ReasonTargetBusy},
+		"tried already":      {fleetOf("a/1"), func(q *pick.Query) { q.Tried = []place.Target{"t0"} }, errs.ReasonNoTarget},
+		"no time":            {fleetOf("a/1"), func(q *pick.Query) { q.Left = time.Millisecond }, errs.ReasonTargetBusy},
+		"region not allowed": {fleetOf("b/1"), func(q *pick.Query) { q.Allowed = func(r place.Region) bool { return r == "a" } }, errs.ReasonNoTarget},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := query("x")
+			test.change(&q)
+			_, err := newChooser().Choose(test.members, q, start)
+			refusal := errs.AsRefusal(err)
+			if err == nil || refusal.Verdict() != errs.VerdictNotRun || refusal.Reason() != test.reason || refusal.ComeBack() <= 0 {
+				t.Errorf("error %v, come back after %v; want not-run, %s and a time", err, refusal.ComeBack(), test.reason)
+			}
+		})
+	}
+}
+
+// TestColdTarget: a cold target gets what this entry may send, and no more.
+func TestColdTarget(t *testing.T) {
+	cold := []*fleet.Member{fleet.NewMember(fleet.Report{Target: "t1", Service: "s", Zone: "a/1", Slots: 40}, start.Add(time.Minute))}
+	c, q := newChooser(), query("x")
+	const share = 3
+	q.ColdShare = func(*fleet.Member) int64 { return share }
+	sent := 0
+	for range 10 {
+		if _, err := c.Choose(cold, q, start); err == nil {
+			sent++
+		}
+	}
+	if sent != share {
+		t.Errorf("%d requests went to a cold target, want %d", sent, share)
+	}
+}
--- a/sender/request.go
+++ b/sender/request.go
@@ -147,6 +147,9 @@
 	keepAlive string
 }
 
+// NewAnswer makes an Answer with a status and nothing else.
+func NewAnswer(status int) Answer { return Answer{status: status} }
+
 // Status returns the HTTP status.
 func (a Answer) Status() int { return a.status }
 
