Begin with old knowledge of others while the store is away

Ruled out: the seeds being unreachable (they answered, with ages over 1 s). TestStartsWithoutTheStore failed before.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -192,6 +192,26 @@
 	}
 }
 
+// TestStartsWithoutTheStore: the store is away for all, and a new process begins
+// with what another one knows, however old that is.
+func TestStartsWithoutTheStore(t *testing.T) {
+	store := newStore(t)
+	store.Put("servers", "t1", entry)
+	feeds := &group{}
+	old := start(t, store, "i2", &zone{live: []place.Instance{"i2"}, feeds: feeds})
+	within(t, 2*time.Second, "ready", old.Ready)
+	store.Refuse(http.StatusServiceUnavailable)
+	within(t, 3*time.Second, "old knowledge", func() bool { return old.Age() > 1500*time.Millisecond })
+	feeds.set("i2", old)
+	f := start(t, store, "i1", &zone{live: []place.Instance{"i1"}, far: []place.Instance{"i2"}, feeds: feeds})
+	within(t, 2*time.Second, "ready without the store", f.Ready)
+	if f.Age() < time.Second || f.View().Size() != 1 {
+		t.Errorf("the knowledge counts as %v old, with %d targets", f.Age(), f.View().Size())
+	}
+	store.Refuse(0)
+	within(t, 3*time.Second, "recent knowledge", func() bool { return f.Age() < time.Second })
+}
+
 // TestFollowsTheZone: one instance of a zone watches the store, the other
 // follows it, and turns to the store when the first is gone.
 func TestFollowsTheZone(t *testing.T) {
--- a/feed/source.go
+++ b/feed/source.go
@@ -258,6 +258,7 @@
 	}
 	age := time.Duration(answer.AgeMillis) * time.Millisecond
 	if age > ageMost {
+		f.takeOld(ask, answer, age)
 		return errors.Newf("the knowledge of instance %s is %v old", peer, age)
 	}
 	f.confirmed(peer, age)
@@ -265,6 +266,20 @@
 	return nil
 }
 
+// takeOld takes in knowledge of another instance that the store has not
+// confirmed of late, if this process has none: with the store away, a new
+// process serves with what the others serve with, and knows how old it is.
+func (f *Feed) takeOld(ask *wire.Follow, answer *wire.Followed, age time.Duration) {
+	if f.Ready() {
+		return
+	}
+	f.source.mu.Lock()
+	f.source.lost = f.now().Add(-age)
+	f.source.mu.Unlock()
+	f.followed(ask, answer)
+	f.log.WithField("age", age).Warn("The process begins with old knowledge of another instance.")
+}
+
 // watchUntil watches every kind of object at the store until done says so.
 func (f *Feed) watchUntil(ctx context.Context, done func() bool) {
 	ctx, cancel := context.WithCancel(ctx)
