Compare with other zones what the store says

Ruled out: the followers (they had what their instance had); a shorter watch (four times the calls). The instance that watches asks one of another zone every half second. The silent case of TestRefusedByTheStore failed before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -118,6 +118,7 @@
 	var tasks conc.WaitGroup
 	tasks.Go(func() { f.runSource(ctx) })
 	tasks.Go(func() { f.runRescue(ctx) })
+	tasks.Go(func() { f.runCompare(ctx) })
 	tasks.Go(func() { f.runExpiry(ctx) })
 	tasks.Wait()
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -169,7 +169,12 @@
 // TestRefusedByTheStore: the store turns one instance away, which then learns
 // of changes from another.
 func TestRefusedByTheStore(t *testing.T) {
-	for name, status := range map[string]int{"busy": http.StatusServiceUnavailable, "too many": http.StatusTooManyRequests} {
+	tests := map[string]func(*fakes.Store){
+		"busy":     func(s *fakes.Store) { s.Refuse(http.StatusServiceUnavailable) },
+		"too many": func(s *fakes.Store) { s.Refuse(http.StatusTooManyRequests) },
+		"silent":   func(s *fakes.Store) { s.Silence() },
+	}
+	for name, fail := range tests {
 		t.Run(name, func(t *testing.T) {
 			// Two stores with the same content stand for one that serves i2 and
 			// turns i1 away.
@@ -178,10 +183,10 @@
 			feeds.set("i2", start(t, second, "i2", &zone{live: []place.Instance{"i2"}, feeds: feeds}))
 			f := start(t, first, "i1", &zone{live: []place.Instance{"i1"}, far: []place.Instance{"i2"}, feeds: feeds})
 			within(t, 2*time.Second, "ready", f.Ready)
-			first.Refuse(status)
+			fail(first)
 			second.Put("config", "main", fakes.Config(3, 1000))
 			within(t, 2*time.Second, "a configuration from another instance", func() bool { return version(f) == 3 })
-			within(t, 2*time.Second, "recent knowledge", func() bool { return f.Age() < time.Second })
+			within(t, 4*time.Second, "recent knowledge", func() bool { return f.Source() == "i2" && f.Age() < time.Second })
 			calls := first.Calls()
 			time.Sleep(2 * time.Second)
 			// At most one call for each pause, and one that may be under way.
--- a/feed/source.go
+++ b/feed/source.go
@@ -53,6 +53,10 @@
 	// store. The pause doubles with each failure.
 	backoffLeast = 200 * time.Millisecond
 	backoffMost  = time.Second
+	// compareInterval is the time between two questions to other zones of the
+	// instance that watches the store: two of them, the pause between watches
+	// and a follower's delay fit into the shortest bound of the contracts, 2 s.
+	compareInterval = 500 * time.Millisecond
 	// joinTime is how long a new process learns from a seed before it turns to
 	// the store: three heartbeats of the zone. joinPause is the time between
 	// two questions.
@@ -104,9 +108,12 @@
 	if f.source.peer != "" {
 		return string(f.source.peer)
 	}
-	return "store"
+	return storeSource
 }
 
+// storeSource is the name of the store among the sources.
+const storeSource = "store"
+
 // confirmed notes that the store, or the peer if one is named, confirmed what
 // this process knows.
 func (f *Feed) confirmed(peer place.Instance, age time.Duration) {
@@ -229,7 +236,7 @@
 	if len(names) == 0 {
 		return f.self
 	}
-	return place.Instance(rendezvous.New(names, xxhash.Sum64String).Lookup("store"))
+	return place.Instance(rendezvous.New(names, xxhash.Sum64String).Lookup(storeSource))
 }
 
 // followPeer follows an instance until it fails or is no longer the right one.
@@ -245,16 +252,9 @@
 // pull asks an instance once for what is new, and takes it in if its knowledge
 // is recent enough.
 func (f *Feed) pull(ctx context.Context, peer place.Instance, patience, ageMost time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, patience+followTimeout-followWait)
-	defer cancel()
-	ask := f.ask(patience)
-	message, err := f.peers.Call(ctx, peer, ask)
+	answer, ask, err := f.question(ctx, peer, patience)
 	if err != nil {
-		return errors.Wrap(err, "ask an instance")
-	}
-	answer, ok := message.(*wire.Followed)
-	if !ok {
-		return errors.Newf("instance %s gave another answer than was asked for", peer)
+		return err
 	}
 	age := time.Duration(answer.AgeMillis) * time.Millisecond
 	if age > ageMost {
@@ -266,6 +266,22 @@
 	return nil
 }
 
+// question asks an instance for what is new.
+func (f *Feed) question(ctx context.Context, peer place.Instance, patience time.Duration) (*wire.Followed, *wire.Follow, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience+followTimeout-followWait)
+	defer cancel()
+	ask := f.ask(patience)
+	message, err := f.peers.Call(ctx, peer, ask)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "ask an instance")
+	}
+	answer, ok := message.(*wire.Followed)
+	if !ok {
+		return nil, nil, errors.Newf("instance %s gave another answer than was asked for", peer)
+	}
+	return answer, ask, nil
+}
+
 // takeOld takes in knowledge of another instance that the store has not
 // confirmed of late, if this process has none: with the store away, a new
 // process serves with what the others serve with, and knows how old it is.
@@ -395,6 +411,23 @@
 	return nil
 }
 
+// runCompare asks an instance of another zone, while this process watches the
+// store itself, whether it knows more. A store that falls silent to one instance
+// shows that only after its watch should have ended; a leaving target must get
+// nothing new long before that.
+func (f *Feed) runCompare(ctx context.Context) {
+	for wait.For(ctx, compareInterval) {
+		others := f.peers.Others()
+		if f.Source() != storeSource || len(others) == 0 {
+			continue
+		}
+		answer, ask, err := f.question(ctx, others[rand.IntN(len(others))], 0)
+		if err == nil && answer.AgeMillis <= ageMax.Milliseconds() {
+			f.followed(ask, answer)
+		}
+	}
+}
+
 // runRescue asks other instances while the store doesn't answer.
 func (f *Feed) runRescue(ctx context.Context) {
 	for wait.For(ctx, rescueInterval) {
--- a/front/request.go
+++ b/front/request.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/platform"
@@ -49,6 +51,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{http: r, head: platform.ReadHead(r), arrived: s.now()}
+	defer s.guard(w, q)
 	if !s.admit(w, q) {
 		return
 	}
@@ -64,6 +67,17 @@
 	s.deliver(w, q, answer)
 }
 
+// guard answers a request whose handling failed by a fault of this program. The
+// library would close the connection without an answer.
+func (s *Server) guard(w http.ResponseWriter, q *request) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"id": q.head.ID(), "fault": fault, "stack": string(debug.Stack())}).Error("A fault of the program ended a request.")
+	s.refuse(w, q, errs.MayHaveRun(errs.ReasonPeerFailed, "a fault of the program: %v", fault))
+}
+
 // admit finds the route of a request and reads its body, or answers it.
 func (s *Server) admit(w http.ResponseWriter, q *request) bool {
 	q.table = s.feed.Table()
