Dump the state of a process on the platform, and order candidates by sorting

Cause: an operator had metrics and logs, but no view of what one process knows of its targets; and the order of the candidates took the square of their number, 90,000 comparisons a request with 300 targets. The order is the same but for equal hashes; TestEntriesAgree and TestFewObjectsMove hold.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -79,16 +79,14 @@
 		coldUntil = now.Add(report.Cold)
 	}
 	before, known := b.records[report.Target]
-	if known && before.report.Born == report.Born && before.coldUntil.After(coldUntil) && !b.warmer(before.report, report) {
-		coldUntil = before.coldUntil
+	// A report that says nothing new of the cold does not end one that the zone's
+	// return, or the target itself, has shown.
+	if known && before.report.Born == report.Born && report.Cold >= before.report.Cold {
+		coldUntil = later(coldUntil, before.coldUntil)
 	}
 	b.records[report.Target] = &record{report: report, coldUntil: coldUntil}
 }
 
-// warmer tells whether the new report says that a target which was reported as
-// cold is less so.
-func (b *Book) warmer(before, after Report) bool { return after.Cold < before.Cold }
-
 // Remove takes in that the list holds a target no longer. Right after an outage
 // of the store the target may be alive, and is kept until ReturnTime after it.
 func (b *Book) Remove(target place.Target, now time.Time) {
--- /dev/null
+++ b/front/dump.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/place"
+)
+
+// Dump is the state of a process as operators read it.
+type Dump struct {
+	Instance       place.Instance     `json:"instance"`
+	Zone           place.Zone         `json:"zone"`
+	Ready          bool               `json:"ready"`
+	Leaving        bool               `json:"leaving"`
+	Running        int64              `json:"running"`
+	Source         string             `json:"source"`
+	KnowledgeAge   string             `json:"knowledge_age"`
+	Version        uint64             `json:"version"`
+	Routes         int                `json:"routes"`
+	EvacuatedZones []place.Zone       `json:"evacuated_zones"`
+	LiveInstances  []place.Instance   `json:"live_instances"`
+	Registered     int                `json:"registered_instances"`
+	Targets        []pick.TargetState `json:"targets"`
+}
+
+// Dump returns the state of the process.
+func (s *Server) Dump() Dump {
+	view, now := s.feed.View(), s.now()
+	d := Dump{
+		Instance: s.self.Instance, Zone: s.self.Zone, Ready: s.Ready(), Leaving: s.leaving.Load(), Running: s.active.Load(),
+		Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
+		EvacuatedZones: view.Evacuated(), LiveInstances: s.mates.Live(), Registered: s.mates.Size(),
+		Targets: s.chooser.States(view, now),
+	}
+	if table := s.feed.Table(); table != nil {
+		d.Version, d.Routes = table.Version(), table.Routes()
+	}
+	return d
+}
+
+func (s *Server) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s.Dump()); err != nil {
+		s.log.WithError(err).Debug("The dump was not read to its end.")
+	}
+}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -475,6 +475,21 @@
 	}
 }
 
+// TestDump: the dump tells what the process knows and has learned.
+func TestDump(t *testing.T) {
+	w := newWorld(t)
+	w.ask(t, "POST", "/write/x", "r1")
+	dump := w.server.Dump()
+	if !dump.Ready || dump.Source != "store" || dump.Version != 1 || dump.Routes != 2 || len(dump.Targets) != 2 {
+		t.Errorf("the dump is %+v", dump)
+	}
+	for _, target := range dump.Targets {
+		if target.Service != "svc" || target.Running != 0 || target.Unreachable {
+			t.Errorf("the dump has the target %+v", target)
+		}
+	}
+}
+
 func TestLookup(t *testing.T) {
 	w := newWorld(t)
 	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/-/resolve?name=h.example&region=a&zone=a1", w.port+2))
--- a/front/server.go
+++ b/front/server.go
@@ -221,6 +221,7 @@
 
 func (s *Server) operatorsPort() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("/dump", s.serveDump)
 	mux.Handle("/metrics", promhttp.HandlerFor(s.stats.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -269,13 +270,19 @@
 	return -math.Log((float64(hash)+1)/math.MaxUint64) / weight
 }
 
-// rank sets the rendezvous order among the candidates.
+// rank sets the rendezvous order among the candidates. Those that could not be
+// reached take no place in it.
 func rank(candidates []Candidate, orders []float64) {
-	for i := range candidates {
-		for j := range candidates {
-			if orders[j] < orders[i] && !candidates[j].Suspect {
-				candidates[i].Rank++
-			}
+	sorted := make([]int, len(candidates))
+	for i := range sorted {
+		sorted[i] = i
+	}
+	slices.SortFunc(sorted, func(i, j int) int { return cmp.Compare(orders[i], orders[j]) })
+	position := 0
+	for _, i := range sorted {
+		candidates[i].Rank = position
+		if !candidates[i].Suspect {
+			position++
 		}
 	}
 }
--- /dev/null
+++ b/pick/state.go
@@ -0,0 +1,52 @@
+package pick
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/place"
+)
+
+// TargetState is what an entry knows of a target, as operators read it.
+type TargetState struct {
+	Target  place.Target  `json:"target"`
+	Service place.Service `json:"service"`
+	Zone    place.Zone    `json:"zone"`
+	Slots   int           `json:"slots"`
+	// Running are this entry's own requests there, and Load all that are known.
+	Running     int     `json:"running"`
+	Load        float64 `json:"load"`
+	Slow        float64 `json:"slow"`
+	Fails       float64 `json:"fails"`
+	Cold        bool    `json:"cold"`
+	Unreachable bool    `json:"unreachable"`
+}
+
+// States returns what is known of the targets that may get requests and have had
+// some from this entry, in the order of their names.
+func (c *Chooser) States(view *fleet.View, now time.Time) []TargetState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	states := make([]TargetState, 0, len(c.targets))
+	for target, k := range c.targets {
+		m, found := view.Member(target)
+		if !found || m.Process() != k.process {
+			continue
+		}
+		states = append(states, k.learned.state(m, now))
+	}
+	slices.SortFunc(states, func(a, b TargetState) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	return states
+}
+
+func (l *learned) state(m *fleet.Member, now time.Time) TargetState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return TargetState{
+		Target: m.Target(), Service: m.Service(), Zone: m.Zone(), Slots: m.Slots(),
+		Running: len(l.running), Load: l.load(now), Slow: l.slowNow(now), Fails: l.fails,
+		Cold: m.Cold(now), Unreachable: l.suspect,
+	}
+}
