Bound leaving the region no tighter than chance

Cause: an entry of the second site has 20 requests in the platform's window, whose share that leaves varies by 0.11 by chance; the band of 0.04 sent a quarter of the requests (1,049 of 4,000 in a test) to targets that don't know their objects. TestLeaveByChance failed before; TestLeaveBound holds as it was.

--- a/pace/leave.go
+++ b/pace/leave.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -71,14 +72,17 @@
 }
 
 // bound sets the bounds of the next window from what ran in the last. Without
-// requests there is nothing to keep to.
+// requests there is nothing to keep to. The share of few requests varies by
+// chance, which no other entry shares; a bound tighter than its standard
+// deviation would send objects to targets that don't know them for nothing.
 func (l *Leave) bound(all, out int64) {
 	if all < leaveLeast {
 		l.low, l.high = 0, 1
 		return
 	}
 	share := float64(out) / float64(all)
-	l.low, l.high = share-l.step, share+l.step
+	step := max(l.step, math.Sqrt(share*(1-share)/float64(all)))
+	l.low, l.high = share-step, share+step
 }
 
 // Ran counts a request that was sent to a target.
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -173,3 +174,36 @@
 		}
 	})
 }
+
+// TestLeaveByChance: an entry with few requests, of which half want to leave at
+// random, sends most of them where they want: a third of what is normally
+// distributed lies outside one standard deviation, and half of those requests
+// want the way that is closed.
+func TestLeaveByChance(t *testing.T) {
+	const (
+		shiftMax = 0.15
+		pause    = 100 * time.Millisecond
+		requests = 4000
+	)
+	l, random, now := pace.NewLeave(shiftMax), rand.New(rand.NewPCG(1, 2)), start
+	forced := 0
+	for range requests {
+		now = now.Add(pause)
+		wantsOut := random.IntN(2) == 0
+		outside := wantsOut
+		switch l.Next(now) {
+		case pace.Stay:
+			outside = false
+		case pace.Go:
+			outside = true
+		case pace.Free:
+		}
+		if outside != wantsOut {
+			forced++
+		}
+		l.Ran(outside, now)
+	}
+	if forced > requests/6 {
+		t.Errorf("%d of %d requests were sent where they did not want to", forced, requests)
+	}
+}
