Free the slots of inherited requests in the order of their ends

Cause: a keeper that takes a target over gets the time that each running request may still take, in the order of a map, and is later told that one of them ended, not which. It dropped the first of the list. When that was not the one whose time ends first, the rest was counted for too short, and the target got one request more than it has slots. Reports that freed slots had the same fault: they kept the first of the list.

Ruled out: the lease itself; the oracle of two keepers at once held in the failing run. The order of the map also explains why rapid could not repeat it.

The list is kept in the order of the ends; who is told of an end drops the earliest, and a report keeps the latest.

--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivechute/endivechute/errs"
@@ -124,7 +125,7 @@
 	limits    Limits
 	running   map[uint64]time.Duration // when each began
 	queue     []waiter
-	inherited []time.Duration // until when an earlier keeper's work is counted
+	inherited []time.Duration // until when work of unknown end is counted, the earliest first
 	handover  time.Duration   // which handover the inherited work came with, or 0
 	doubtful  bool            // inherited holds work that may have ended long ago
 	reports   []int           // running as the last reports said, since the takeover
@@ -198,11 +199,14 @@
 	for _, d := range left {
 		l.inherited = append(l.inherited, now+d)
 	}
+	slices.Sort(l.inherited)
 }
 
 // InheritedDone tells that a request ended which the keeper before this one had
 // sent and handed over. It counts only until reports have freed slots, as they
-// may have freed the one of this request.
+// may have freed the one of this request. Which one it was isn't said; the one
+// that would be freed first stands for it, so that no other request is counted
+// for a shorter time than it may take.
 func (l *Ledger) InheritedDone(handover time.Duration) {
 	if l.handover == handover && len(l.inherited) > 0 {
 		l.inherited = l.inherited[1:]
@@ -242,7 +246,7 @@
 		most = max(most, r)
 	}
 	if most < len(l.inherited) {
-		l.inherited = l.inherited[:max(0, most)]
+		l.inherited = l.inherited[len(l.inherited)-max(0, most):]
 		l.handover = 0
 	}
 }
@@ -362,14 +366,20 @@
 		l.doubtful = true
 		l.reports = nil
 		l.handover = 0
-		l.inherited = append(l.inherited, began+l.limits.longest)
+		l.countUntil(began + l.limits.longest)
 	case OutcomeCanceled:
 		l.learnService(max(l.service, canceledFactor*(now-began)), canceledWeight, now)
-		l.inherited = append(l.inherited, now+CancelTime)
+		l.countUntil(now + CancelTime)
 	case OutcomeUnused:
 	}
 }
 
+// countUntil counts a slot as taken until the time given.
+func (l *Ledger) countUntil(until time.Duration) {
+	at, _ := slices.BinarySearch(l.inherited, until)
+	l.inherited = slices.Insert(l.inherited, at, until)
+}
+
 func (l *Ledger) learnService(took, weight, now time.Duration) {
 	l.service += (took - l.service) / weight
 	l.learnedAt = now
--- a/keeper/prompt_test.go
+++ b/keeper/prompt_test.go
@@ -61,3 +61,36 @@
 		})
 	}
 }
+
+// TestInheritedEnds: a keeper that is told that one of the inherited requests
+// ended, or that fewer run, goes on counting the other for its whole time.
+func TestInheritedEnds(t *testing.T) {
+	const handover, short, long = time.Second, 100 * time.Millisecond, time.Second
+	told := func(l *keeper.Ledger) { l.InheritedDone(handover) }
+	reported := func(l *keeper.Ledger) {
+		l.Report(1)
+		l.Report(1)
+	}
+	tests := map[string]struct {
+		left []time.Duration
+		tell func(*keeper.Ledger)
+	}{
+		"told, the short one first":     {[]time.Duration{short, long}, told},
+		"told, the long one first":      {[]time.Duration{long, short}, told},
+		"reported, the short one first": {[]time.Duration{short, long}, reported},
+		"reported, the long one first":  {[]time.Duration{long, short}, reported},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := keeper.NewLedger(keeper.NewLimits(2, 2, 2*time.Second))
+			l.Inherit(handover, test.left, 0)
+			test.tell(l)
+			if free := l.Free(long - 1); free != 1 {
+				t.Errorf("%d slots are free while one inherited request may still run, want 1", free)
+			}
+			if free := l.Free(long); free != 2 {
+				t.Errorf("%d slots are free after the inherited requests, want 2", free)
+			}
+		})
+	}
+}
