Add a soak that lets drawn faults strike real processes

The scenarios of package suite are scripted and drive the project's own interface only; nothing ran the program for the users' platform as separate processes under faults.

Six instances in three zones behind loopback proxies, the stand-ins of the store and of 18 targets, twelve clients. A seed draws up to 14 strikes of up to five kinds of 16: signals, ways that hold back, delay, reset or fall silent, a store that misbehaves, targets that crash, leave, turn slow or answer wrongly, changes of the configuration. Thirteen promises are held against what clients and targets saw, with the times in which an instance was disturbed as the only excuse, and stalls of the test's own machine noted as such.

Ruled out that the checks are blind: each of these changes to a scratch copy of the program was found: a request that runs once sent again (TWICE), 503 for an unknown fate (REFUSED), requests cut at SIGTERM (LOST, 5 of 40 seeds), leaving targets used on (DRAIN), every second version skipped (CONFIG), answers not matched by id (MIXED), targets not told that the client left (GONE, 1 of 40). The last two and LOST were missed by the first form of the checks and conducts, which were sharpened.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 
 LINTER := bin/golangci-lint
 FUZZ_TIME ?= 60s
+SOAK_SEEDS ?= 50
+SOAK_FIRST ?= 0
 
-.PHONY: help build test lint format ci demo fuzz slopes clean
+.PHONY: help build test lint format ci demo fuzz soak slopes clean
 
 help: ## List the tasks.
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -35,6 +37,9 @@
 fuzz: ## Run each fuzz target for FUZZ_TIME.
 	scripts/fuzz $(FUZZ_TIME)
 
+soak: ## Run SOAK_SEEDS seeds of drawn faults against real processes, from SOAK_FIRST (0 draws it).
+	scripts/soak $(SOAK_SEEDS) $(SOAK_FIRST)
+
 slopes: ## Measure the slopes that docs/CAPACITY.md is worked out from.
 	scripts/slopes
 
--- /dev/null
+++ b/soak/node_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/platform/fakes"
+)
+
+const (
+	nodePort = 21000
+	// graceSeconds is the time from SIGTERM to SIGKILL.
+	graceSeconds = 3
+	// restartPause is how long the platform takes to start an ended process.
+	restartPause = 300 * time.Millisecond
+)
+
+// node is one instance: a real process behind links, started again whenever it
+// ends.
+type node struct {
+	fakes.Node
+	// store, peers and clients are the links on the ways to the platform's
+	// store, from other instances and from clients.
+	store, peers, clients *link
+	record                *record
+	directory             string
+	hangups               int
+
+	mu      sync.Mutex
+	process *os.Process
+	ended   chan struct{}
+	closing bool
+	tasks   sync.WaitGroup
+}
+
+func newNode(n fakes.Node, store string, r *record, directory string) (*node, error) {
+	var err error
+	made := &node{Node: n, record: r, directory: directory}
+	for _, way := range []struct {
+		link **link
+		to   string
+	}{{&made.store, store}, {&made.peers, made.at(3)}, {&made.clients, made.at(0)}} {
+		if *way.link, err = newLink(way.to); err != nil {
+			return nil, err
+		}
+	}
+	made.Store = made.store.address()
+	return made, os.WriteFile(made.path("conf"), []byte(made.Lines()), 0o644)
+}
+
+func (n *node) at(offset int) string { return net.JoinHostPort(n.Host, strconv.Itoa(n.Port+offset)) }
+
+func (n *node) path(ending string) string { return filepath.Join(n.directory, n.Name+"."+ending) }
+
+// run starts the process again and again until close is called.
+func (n *node) run() {
+	for n.start() {
+		<-n.ended
+		time.Sleep(restartPause)
+	}
+}
+
+func (n *node) start() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return false
+	}
+	log, err := os.OpenFile(n.path("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return false
+	}
+	command := exec.Command(program, "front", "--log-level", "info")
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+n.path("conf"))
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return false
+	}
+	ended := make(chan struct{})
+	n.process, n.ended = command.Process, ended
+	n.tasks.Go(func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(ended)
+	})
+	return true
+}
+
+// signal sends a signal to the present process and returns a channel that is
+// closed when that process ends.
+func (n *node) signal(s syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.process.Signal(s)
+	return n.ended
+}
+
+// stop stops the process as the platform does.
+func (n *node) stop() {
+	ended := n.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceSeconds * time.Second):
+		n.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// awaitReady waits until the process says that it is ready.
+func (n *node) awaitReady(limit time.Duration) bool {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + n.at(1) + platform.PathReady)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *node) close() {
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	n.tasks.Wait()
+	for _, l := range []*link{n.store, n.peers, n.clients} {
+		l.close()
+	}
+}
