Ask no other instance while the followed one answers

Cause: a follower is answered when something changes or after half a second, and took 0.3 s without an answer as a loss of the store.

Ruled out: that the followed instance was silent; it answered each poll, and the bound on its silence (0.9 s) is kept where it is followed.

Before: TestFollowerAsksNobodyElse counts 14 calls to another zone in 3 s. After: at most the 7 of the instance that watches the store.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -67,6 +67,9 @@
 	changeMu sync.Mutex
 
 	source source
+	// following tells that the instance of the zone that watches the store is
+	// being followed.
+	following atomic.Bool
 }
 
 // New makes a Feed that knows nothing yet.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -27,10 +27,17 @@
 	feeds *group
 }
 
-// group holds the feeds that can be reached.
+// group holds the feeds that can be reached and counts the calls to them.
 type group struct {
 	mu    sync.Mutex
 	feeds map[place.Instance]*feed.Feed
+	calls map[place.Instance]int
+}
+
+func (g *group) called(name place.Instance) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calls[name]
 }
 
 func (g *group) set(name place.Instance, f *feed.Feed) {
@@ -45,6 +52,10 @@
 func (g *group) get(name place.Instance) *feed.Feed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.calls == nil {
+		g.calls = map[place.Instance]int{}
+	}
+	g.calls[name]++
 	return g.feeds[name]
 }
 
@@ -72,6 +83,11 @@
 }
 
 func start(t *testing.T, store *fakes.Store, name string, peers *zone) *feed.Feed {
+	t.Helper()
+	return startWith(t, store, name, peers)
+}
+
+func startWith(t *testing.T, store *fakes.Store, name string, peers feed.Peers) *feed.Feed {
 	t.Helper()
 	set := settings(t, name, store.Address())
 	client := platform.NewStore(store.Address(), func(string, time.Duration) {})
@@ -216,6 +232,49 @@
 	within(t, 3*time.Second, "recent knowledge", func() bool { return f.Age() < time.Second })
 }
 
+// TestFollowerAsksNobodyElse: while nothing changes, a follower that hears from
+// the instance it follows asks none of another zone.
+func TestFollowerAsksNobodyElse(t *testing.T) {
+	store := newStore(t)
+	near, far := &group{}, &group{}
+	far.set("i9", start(t, store, "i9", &zone{live: []place.Instance{"i9"}, feeds: far}))
+	both := &reach{zone: zone{live: []place.Instance{"i1", "i2", "i3", "i4"}, far: []place.Instance{"i9"}, feeds: near}, others: far}
+	for _, name := range both.live {
+		near.set(name, startWith(t, store, string(name), both))
+	}
+	within(t, 3*time.Second, "three that follow the fourth", func() bool {
+		followed := 0
+		for _, name := range both.live {
+			if near.get(name).Source() != "store" {
+				followed++
+			}
+		}
+		return followed == len(both.live)-1
+	})
+	before := far.called("i9")
+	const quiet, compared = 3 * time.Second, 500 * time.Millisecond
+	time.Sleep(quiet)
+	// The one that watches the store compares what it knows with other zones.
+	if calls := far.called("i9") - before; calls > int(quiet/compared)+1 {
+		t.Errorf("%d calls to another zone in %v, want those of the one that watches the store", calls, quiet)
+	}
+}
+
+// reach is a fake of the other instances whose other zones have calls of their
+// own.
+type reach struct {
+	zone
+	others *group
+}
+
+// Call implements feed.Peers.
+func (r *reach) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	if slices.Contains(r.far, instance) {
+		return (&zone{feeds: r.others}).Call(ctx, instance, message)
+	}
+	return r.zone.Call(ctx, instance, message)
+}
+
 // TestFollowsTheZone: one instance of a zone watches the store, the other
 // follows it, and turns to the store when the first is gone.
 func TestFollowsTheZone(t *testing.T) {
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -38,6 +38,8 @@
 
 // followPeer follows an instance until it fails or is no longer the right one.
 func (f *Feed) followPeer(ctx context.Context, peer place.Instance) error {
+	f.following.Store(true)
+	defer f.following.Store(false)
 	for ctx.Err() == nil && f.watcher() == peer {
 		if err := f.pull(ctx, peer, followWait, ageMax); err != nil {
 			return err
@@ -110,10 +112,12 @@
 	}
 }
 
-// runRescue asks other instances while the store doesn't answer.
+// runRescue asks other instances while the store doesn't answer. An instance
+// that is followed answers only when something changes, and how long it may be
+// silent is bounded there.
 func (f *Feed) runRescue(ctx context.Context) {
 	for wait.For(ctx, rescueInterval) {
-		if f.Age() < rescueAfter {
+		if f.following.Load() || f.Age() < rescueAfter {
 			continue
 		}
 		if err := f.rescue(ctx); err != nil && f.Age() > ageMax {
