Read a settings file that changes without a signal

Ruled out: watching the file by inotify, which the instances don't have.

Before: no code looked at the file; TestReload has nothing to call. After: the file is looked at once a second and put into force if its content differs; one that can't be used is reported once and the last good settings stay. TestReload and TestReloadMissing hold both ways.

--- a/cmd/endivechute/front.go
+++ b/cmd/endivechute/front.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/front"
@@ -24,6 +23,11 @@
 // before it collects garbage at any price.
 const memoryShare = 0.7
 
+// settingsInterval is how often the settings file is looked at for a change that
+// came without a signal: twice within the time that the platform allows for a
+// new configuration, 2 s.
+const settingsInterval = time.Second
+
 func newFrontCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("endivechute front", flag.ContinueOnError)
 	path := flags.String("platform-settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
@@ -40,6 +44,8 @@
 		if err != nil {
 			return errors.Mark(err, setup.ErrUsage)
 		}
+		// A change that comes after the file was read is noticed later.
+		changes := newReloader(*path, logger)
 		settings, err := platform.LoadSettings(*path)
 		if err != nil {
 			return errors.Mark(err, setup.ErrUsage)
@@ -48,36 +54,37 @@
 			debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 		}
 		server := front.New(settings, *metrics, time.Now, logger)
-		stop := reloadOnHangup(ctx, *path, server, logger)
+		changes.apply = server.Reload
+		stop := runReloads(ctx, changes)
 		defer stop()
 		return server.Run(ctx)
 	})
 }
 
-// reloadOnHangup reads the settings file anew at each SIGHUP until ctx ends.
-// Settings that can't be used are reported, and the last good ones stay.
-func reloadOnHangup(ctx context.Context, path string, server *front.Server, logger *logrus.Logger) (stop func()) {
+// runReloads reads the settings file anew at each SIGHUP, and every
+// settingsInterval if it has changed, until ctx ends.
+func runReloads(ctx context.Context, r *reloader) (stop func()) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	var tasks conc.WaitGroup
 	ctx, cancel := context.WithCancel(ctx)
 	tasks.Go(func() {
+		ticker := time.NewTicker(settingsInterval)
+		defer ticker.Stop()
 		for {
 			select {
 			case <-hangups:
+				r.reload(true)
+			case <-ticker.C:
+				r.reload(false)
 			case <-ctx.Done():
 				return
 			}
-			settings, err := platform.LoadSettings(path)
-			if err != nil {
-				logger.WithError(err).Error("The settings can't be used; the last good ones stay in force.")
-				continue
-			}
-			server.Reload(settings)
 		}
 	})
 	return func() {
 		cancel()
+		signal.Stop(hangups)
 		tasks.Wait()
 	}
 }
