Give the models' clock a package of its own

Cause: a second model needs the queue of simulated events that package model had to itself. One copy serves both; nothing else changes.

--- a/model/keeper.go
+++ b/model/keeper.go
@@ -20,9 +20,9 @@
 	w.result.messages += 2
 	r.ended = func() {
 		told := w.look(i)
-		w.after(Hop, func() { w.views[entry][i] = told })
+		w.events.After(Hop, func() { w.views[entry][i] = told })
 	}
-	w.after(Hop, func() { w.enqueue(i, r) })
+	w.events.After(Hop, func() { w.enqueue(i, r) })
 }
 
 func (w *world) choose(entry int) int {
@@ -34,7 +34,7 @@
 			v = w.look(i)
 		}
 		if v.known {
-			c = c.WithView(v.free, v.wait, 0, false, w.now-v.at, v.sent)
+			c = c.WithView(v.free, v.wait, 0, false, w.events.Now()-v.at, v.sent)
 		}
 		candidates[i] = c
 	}
@@ -51,7 +51,7 @@
 func (w *world) look(i int) view {
 	q := &w.queues[i]
 	free := max(0, q.slots-q.running-len(q.waiting))
-	return view{known: true, free: free, wait: q.expected(w.setting.service), at: w.now}
+	return view{known: true, free: free, wait: q.expected(w.setting.service), at: w.events.Now()}
 }
 
 // askViews lets an entry ask a few others what they keep.
@@ -64,16 +64,16 @@
 				continue
 			}
 			told := w.look(i)
-			w.after(Hop, func() { w.views[entry][i] = told })
+			w.events.After(Hop, func() { w.views[entry][i] = told })
 		}
 	}
-	w.after(ViewPeriod, func() { w.askViews(entry) })
+	w.events.After(ViewPeriod, func() { w.askViews(entry) })
 }
 
 // beat counts the messages that renew the leases.
 func (w *world) beat() {
 	w.result.messages += 2 * electors * min(w.setting.targets, w.setting.entries)
-	w.after(BeatPeriod, w.beat)
+	w.events.After(BeatPeriod, w.beat)
 }
 
 // Deadline is the deadline of the requests in the comparison.
--- a/model/model.go
+++ b/model/model.go
@@ -5,10 +5,11 @@
 package model
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/endivechute/endivechute/event"
 )
 
 // Constants of the model.
@@ -121,38 +122,11 @@
 	return service * time.Duration(over) / time.Duration(max(q.slots, 1))
 }
 
-// event is something that happens at a time; order breaks ties.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // world is the state of a run.
 type world struct {
 	setting Setting
 	random  *rand.Rand
-	now     time.Duration
-	order   int
-	pending events
+	events  event.Queue
 	hot     []int
 	queues  []queue
 	keepers []int // the entry that keeps each target
@@ -176,11 +150,7 @@
 	w.prepare(way)
 	w.moveCallers()
 	w.nextArrival(way)
-	for len(w.pending) > 0 && w.pending[0].at <= setting.length+setting.deadline {
-		next := heap.Pop(&w.pending).(event)
-		w.now = next.at
-		next.run()
-	}
+	w.events.Run(setting.length + setting.deadline)
 	for _, q := range w.queues {
 		for range q.waiting {
 			w.expire()
@@ -190,11 +160,6 @@
 	return &w.result
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.pending, event{at: w.now + d, order: w.order, run: run})
-}
-
 func (w *world) prepare(way Way) {
 	s := w.setting
 	total := s.targets * s.slots
@@ -207,7 +172,7 @@
 			w.queues[i%s.entries].slots++
 		}
 		if way == WayLeased {
-			w.after(LeasePeriod, w.exchange)
+			w.events.After(LeasePeriod, w.exchange)
 		}
 	case WayKeeper:
 		w.queues = make([]queue, s.targets)
@@ -219,9 +184,9 @@
 		w.views = make([][]view, s.entries)
 		for i := range w.views {
 			w.views[i] = make([]view, s.targets)
-			w.after(time.Duration(w.random.Int64N(int64(ViewPeriod))), func() { w.askViews(i) })
+			w.events.After(time.Duration(w.random.Int64N(int64(ViewPeriod))), func() { w.askViews(i) })
 		}
-		w.after(BeatPeriod, w.beat)
+		w.events.After(BeatPeriod, w.beat)
 	}
 }
 
@@ -229,15 +194,15 @@
 func (w *world) moveCallers() {
 	count := max(1, int(HotEntries*float64(w.setting.entries)))
 	w.hot = w.random.Perm(w.setting.entries)[:count]
-	w.after(HotPeriod, w.moveCallers)
+	w.events.After(HotPeriod, w.moveCallers)
 }
 
 func (w *world) nextArrival(way Way) {
 	s := w.setting
 	rate := s.load * float64(s.targets*s.slots) / s.service.Seconds()
 	gap := time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
-	w.after(gap, func() {
-		if w.now > s.length {
+	w.events.After(gap, func() {
+		if w.events.Now() > s.length {
 			return
 		}
 		w.arrive(way)
@@ -250,7 +215,7 @@
 	if w.random.Float64() < HotShare {
 		entry = w.hot[w.random.IntN(len(w.hot))]
 	}
-	r := request{arrived: w.now, service: time.Duration(w.random.ExpFloat64() * float64(w.setting.service))}
+	r := request{arrived: w.events.Now(), service: time.Duration(w.random.ExpFloat64() * float64(w.setting.service))}
 	w.result.requests++
 	switch way {
 	case WayPool:
@@ -274,7 +239,7 @@
 	q := &w.queues[i]
 	for len(q.waiting) > 0 {
 		r := q.waiting[0]
-		wait := w.now - r.arrived
+		wait := w.events.Now() - r.arrived
 		if wait > w.setting.deadline {
 			q.waiting = q.waiting[1:]
 			w.expire()
@@ -286,7 +251,7 @@
 		q.waiting = q.waiting[1:]
 		w.result.waits = append(w.result.waits, wait)
 		q.running++
-		w.after(r.service, func() {
+		w.events.After(r.service, func() {
 			q.running--
 			if r.ended != nil {
 				r.ended()
@@ -332,5 +297,5 @@
 	for i := range w.queues {
 		w.serve(i)
 	}
-	w.after(LeasePeriod, w.exchange)
+	w.events.After(LeasePeriod, w.exchange)
 }
