Keep as many changes as there are objects

Cause: a process kept the last 512 changes of a kind for those that follow it.

Before: TestMirrorKeepsChanges gets all 3,000 objects as a whole. After: the changes.

--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -16,9 +16,10 @@
 	"github.com/endivechute/endivechute/platform"
 )
 
-// changesMax is how many changes a mirror keeps. Who is further behind gets the
-// whole.
-const changesMax = 512
+// changesLeast is how many changes a mirror keeps at least; it keeps as many as
+// there are objects, if that is more. Who is further behind gets the whole,
+// which is then not longer than the changes.
+const changesLeast = 512
 
 // mirror is the copy of all objects of one kind. It is safe for use by several
 // goroutines.
@@ -80,7 +81,7 @@
 		}
 	}
 	m.revision = to
-	if extra := len(m.changes) - changesMax; extra > 0 {
+	if extra := len(m.changes) - max(changesLeast, len(m.objects)); extra > 0 {
 		m.complete = m.changes[extra-1].at
 		m.changes = slices.Clone(m.changes[extra:])
 	}
--- a/feed/mirror_test.go
+++ b/feed/mirror_test.go
@@ -58,3 +58,24 @@
 		}
 	})
 }
+
+// TestMirrorKeepsChanges: who misses a change of every object gets the changes,
+// and not the whole, which is no shorter.
+func TestMirrorKeepsChanges(t *testing.T) {
+	const objects = 3000
+	m, revision := newMirror("k"), uint64(1)
+	m.reset(nil, revision)
+	change := func() {
+		for i := range objects {
+			revision++
+			o := platform.NewObject(fmt.Sprint(i), revision, []byte(`{}`), false)
+			m.apply([]platform.Object{o}, revision-1, revision)
+		}
+	}
+	change()
+	before := revision
+	change()
+	if changes, _, whole, _ := m.since(before); whole || len(changes) != objects {
+		t.Errorf("%d changes came, whole: %v; want the %d changes", len(changes), whole, objects)
+	}
+}
--- /dev/null
+++ b/replay/entry.go
@@ -0,0 +1,157 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/pace"
+	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/place"
+)
+
+// The figures of the platform that the model's entries keep to.
+const (
+	shiftMax    = 0.15
+	retryRatio  = 0.2
+	retryWindow = 10 * time.Second
+	// probeInterval is how often an entry looks for targets to probe.
+	probeInterval = 100 * time.Millisecond
+)
+
+// entry is the model of an entry: its decisions are the program's own.
+type entry struct {
+	world   *world
+	zone    place.Zone
+	chooser *pick.Chooser
+	retries map[string]*pace.Retries
+}
+
+func newEntry(w *world, zone place.Zone) *entry {
+	e := &entry{world: w, zone: zone, retries: map[string]*pace.Retries{}}
+	e.chooser = pick.New(zone, pace.NewCold(), pace.NewLeave(shiftMax))
+	for _, s := range w.load.Services {
+		e.retries[s.Name] = pace.NewRetries(retryRatio, retryWindow, w.time().Add(-retryWindow))
+	}
+	w.events.After(probeInterval, e.probe)
+	return e
+}
+
+func (e *entry) probe() {
+	w := e.world
+	for _, m := range e.chooser.Probes(w.view, w.time()) {
+		e.chooser.Probed(m, !w.targets[m.Target()].down)
+	}
+	w.events.After(probeInterval, e.probe)
+}
+
+// attempt is one request of a caller at an entry.
+type attempt struct {
+	entry  *entry
+	kind   *Kind
+	object string
+	// deadline is when nobody waits any more.
+	deadline time.Time
+	tried    []place.Target
+	// done is called with the end of the attempt once.
+	done func(end)
+}
+
+// end is what became of an attempt.
+type end struct {
+	served bool
+	// notRun tells that no target ran it, and comeBack when to come again.
+	notRun   bool
+	comeBack time.Duration
+}
+
+// next sends the attempt to a target, as far as the time and the budget allow.
+func (a *attempt) next() {
+	w := a.entry.world
+	now := w.time()
+	send, err := a.entry.chooser.Choose(w.members(a.kind.Service), pick.Query{
+		Service: place.Service(a.kind.Service), Object: w.known(a.object), Aim: a.kind.Aim.Duration(), Left: a.deadline.Sub(now),
+		Allowed: func(place.Region) bool { return true }, Tried: a.tried, ColdShare: func(*fleet.Member) int64 { return 0 },
+	}, now)
+	if err != nil {
+		a.done(end{notRun: true, comeBack: errs.AsRefusal(err).ComeBack()})
+		return
+	}
+	to := w.targets[send.Member().Target()]
+	a.tried = append(a.tried, send.Member().Target())
+	trip := w.trip(a.entry.zone, send.Member().Zone())
+	v := &visit{kind: a.kind, object: a.object}
+	ended := false
+	finish := func(outcome pick.Outcome) {
+		if ended {
+			return
+		}
+		ended = true
+		report := to.report()
+		w.events.After(trip/2, func() {
+			send.Done(outcome, report, trip, w.time())
+			a.ended(outcome)
+		})
+	}
+	v.ended = finish
+	w.events.After(trip/2, func() { to.take(v) })
+	w.events.After(a.deadline.Sub(now), func() {
+		if !ended {
+			ended = true
+			to.leave(v)
+			send.Done(pick.Abandoned{}, nil, 0, w.time())
+			a.done(end{})
+		}
+	})
+}
+
+// ended takes in what became of a send.
+func (a *attempt) ended(outcome pick.Outcome) {
+	again := true
+	result := end{}
+	switch o := outcome.(type) {
+	case pick.Answered:
+		if !o.Failed {
+			a.done(end{served: true})
+			return
+		}
+		again = !a.kind.Once
+	case pick.Rejected:
+		result = end{notRun: true, comeBack: a.kind.Aim.Duration()}
+	case pick.Unreachable:
+		a.tried = a.tried[:len(a.tried)-1]
+		a.next()
+		return
+	case pick.Broken, pick.Abandoned:
+		again = !a.kind.Once
+	}
+	w := a.entry.world
+	if !again || len(a.tried) >= a.kind.Attempts || !w.time().Before(a.deadline) || !a.entry.retries[a.kind.Service].Take(0, w.time()) {
+		a.done(result)
+		return
+	}
+	a.next()
+}
+
+// serve begins an attempt.
+func (e *entry) serve(kind *Kind, object string, deadline time.Time, done func(end)) {
+	e.retries[kind.Service].Request(e.world.time())
+	timeout := e.world.time().Add(kind.Timeout.Duration())
+	if timeout.Before(deadline) {
+		deadline = timeout
+	}
+	a := &attempt{entry: e, kind: kind, object: object, deadline: deadline, done: done}
+	a.next()
+}
+
+// nearest returns the entries of a zone.
+func (w *world) nearest(zone string) []*entry {
+	return slices.Collect(func(yield func(*entry) bool) {
+		for _, e := range w.entries {
+			if string(e.zone) == zone && !yield(e) {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/replay/result.go
@@ -0,0 +1,143 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+	"time"
+
+	svg "github.com/ajstarks/svgo"
+	"github.com/cockroachdb/errors"
+)
+
+// Tally counts what became of requests.
+type Tally struct {
+	Asked, InAim, Late, Refused, Failed int
+	worth, owed                         float64
+}
+
+// Worth returns what callers got as a part of what they would have got at best.
+func (t Tally) Worth() float64 {
+	if t.owed == 0 {
+		return 0
+	}
+	return t.worth / t.owed
+}
+
+func (t *Tally) add(k *Kind, inAim, served, refused bool) {
+	t.Asked++
+	t.owed += k.Worth
+	switch {
+	case inAim:
+		t.InAim++
+		t.worth += k.Worth
+	case served:
+		t.Late++
+		t.worth += k.Late
+	case refused:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+}
+
+// Result is what callers got in a run.
+type Result struct {
+	load    *Load
+	all     Tally
+	kinds   map[string]*Tally
+	zones   map[string]*Tally
+	seconds []Tally
+}
+
+func newResult(load *Load) *Result {
+	return &Result{
+		load: load, kinds: map[string]*Tally{}, zones: map[string]*Tally{},
+		seconds: make([]Tally, int(math.Ceil(load.Length.Duration().Seconds()))),
+	}
+}
+
+// All returns the count of all requests.
+func (r *Result) All() Tally { return r.all }
+
+// Between returns the worth of the requests that were made between two seconds.
+func (r *Result) Between(from, to int) float64 {
+	var sum Tally
+	for _, t := range r.seconds[from:min(to, len(r.seconds))] {
+		sum.worth += t.worth
+		sum.owed += t.owed
+	}
+	return sum.Worth()
+}
+
+func (r *Result) served(q *request, took time.Duration) {
+	r.add(q, took <= q.kind.Aim.Duration(), true, false)
+}
+
+func (r *Result) lost(q *request, refused bool) { r.add(q, false, false, refused) }
+
+func (r *Result) add(q *request, inAim, served, refused bool) {
+	second := min(int(q.begun.Seconds()), len(r.seconds)-1)
+	for _, t := range []*Tally{&r.all, tallyOf(r.kinds, q.kind.Name), tallyOf(r.zones, q.zone), &r.seconds[second]} {
+		t.add(q.kind, inAim, served, refused)
+	}
+}
+
+func tallyOf(of map[string]*Tally, name string) *Tally {
+	if of[name] == nil {
+		of[name] = &Tally{}
+	}
+	return of[name]
+}
+
+// WriteTable writes what callers got, by kind and by zone.
+func (r *Result) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, t Tally) {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t\n", name, t.Asked, t.InAim, t.Late, t.Refused, t.Failed, t.Worth())
+	}
+	_, _ = fmt.Fprintln(table, "\tasked\tin aim\tlate\trefused\tfailed\tworth\t")
+	for _, k := range r.load.Kinds {
+		row(k.Name, *tallyOf(r.kinds, k.Name))
+	}
+	for _, region := range r.load.Regions {
+		for i := range r.load.ZonesEach {
+			zone := fmt.Sprintf("%s/%d", region, i+1)
+			row(zone, *tallyOf(r.zones, zone))
+		}
+	}
+	row("all", r.all)
+	return errors.Wrap(table.Flush(), "write the table")
+}
+
+// The sizes of the plot, in pixels.
+const (
+	plotWidth, plotHeight = 800, 240
+	plotMargin            = 40
+)
+
+// WritePlot writes the worth of each second as an SVG picture.
+func (r *Result) WritePlot(w io.Writer) {
+	canvas := svg.New(w)
+	canvas.Start(plotWidth, plotHeight)
+	canvas.Rect(0, 0, plotWidth, plotHeight, "fill:white")
+	inner, high := plotWidth-2*plotMargin, plotHeight-2*plotMargin
+	at := func(second int) int { return plotMargin + second*inner/max(len(r.seconds)-1, 1) }
+	level := func(worth float64) int { return plotMargin + int((1-worth)*float64(high)) }
+	for _, worth := range []float64{0, 0.25, 0.5, 0.75, 1} {
+		canvas.Line(plotMargin, level(worth), plotWidth-plotMargin, level(worth), "stroke:lightgrey")
+		canvas.Text(plotMargin-4, level(worth)+4, fmt.Sprint(worth), "font-size:10px;text-anchor:end")
+	}
+	xs, ys := make([]int, 0, len(r.seconds)), make([]int, 0, len(r.seconds))
+	const labelEvery = 5
+	for second, t := range r.seconds {
+		xs, ys = append(xs, at(second)), append(ys, level(t.Worth()))
+		if second%labelEvery == 0 {
+			canvas.Text(at(second), plotHeight-plotMargin+14, fmt.Sprint(second, " s"), "font-size:10px;text-anchor:middle")
+		}
+	}
+	canvas.Polyline(xs, ys, "fill:none;stroke:black;stroke-width:1.5")
+	canvas.Text(plotMargin, plotMargin/2, r.load.Name+": worth of the requests of each second", "font-size:12px")
+	canvas.End()
+}
--- /dev/null
+++ b/replay/run.go
@@ -0,0 +1,224 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/endivechute/endivechute/event"
+	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/place"
+)
+
+// Policy is what a run decides by.
+type Policy struct {
+	// BlindToObjects makes entries choose targets by load alone.
+	BlindToObjects bool
+}
+
+// callerTrip is the time of a packet from a caller to an entry and back.
+const callerTrip = 2 * time.Millisecond
+
+// returnShare is the part of the time left for which callers heed when to come
+// back.
+const returnShare = 1.0 / 3
+
+// world is the state of a run.
+type world struct {
+	load    *Load
+	policy  Policy
+	random  *rand.Rand
+	events  event.Queue
+	view    *fleet.View
+	targets map[place.Target]*target
+	entries []*entry
+	zones   []string
+	result  *Result
+}
+
+// Run plays a load under a policy. The order of what happens is drawn from the
+// seed; only when callers come back is not, so that two runs of a seed differ a
+// little.
+func Run(load *Load, policy Policy, seed uint64) *Result {
+	w := &world{load: load, policy: policy, random: rand.New(rand.NewPCG(seed, seed)), targets: map[place.Target]*target{}}
+	w.result = newResult(load)
+	w.build()
+	for i := range load.Patterns {
+		w.strike(&load.Patterns[i])
+	}
+	for i := range load.Kinds {
+		for _, zone := range w.zones {
+			w.arrivals(&load.Kinds[i], zone)
+		}
+	}
+	most := time.Duration(0)
+	for _, k := range load.Kinds {
+		most = max(most, k.Deadline.Duration())
+	}
+	w.events.Run(load.Length.Duration() + most)
+	return w.result
+}
+
+// time returns the simulated time as the decisions want it.
+func (w *world) time() time.Time { return time.Unix(1, 0).Add(w.events.Now()) }
+
+func (w *world) build() {
+	book := fleet.NewBook(fleet.Times{})
+	for _, region := range w.load.Regions {
+		for i := range w.load.ZonesEach {
+			w.zones = append(w.zones, fmt.Sprintf("%s/%d", region, i+1))
+		}
+	}
+	for i := range w.load.Services {
+		s := &w.load.Services[i]
+		for _, zone := range w.zones {
+			for n := range s.TargetsEach {
+				name := place.Target(fmt.Sprintf("%s-%s-%d", s.Name, zone, n+1))
+				book.Put(fleet.Report{Target: name, Service: place.Service(s.Name), Zone: place.Zone(zone), Address: "10.0.0.1:1", Slots: s.Slots, Born: 1}, w.time())
+				w.targets[name] = &target{world: w, service: s, zone: zone}
+			}
+		}
+	}
+	w.view = book.View()
+	for name, t := range w.targets {
+		t.member, _ = w.view.Member(name)
+	}
+	for _, zone := range w.zones {
+		for range w.load.EntriesEach {
+			w.entries = append(w.entries, newEntry(w, place.Zone(zone)))
+		}
+	}
+}
+
+func (w *world) members(service string) []*fleet.Member {
+	return w.view.Members(place.Service(service))
+}
+
+// known returns the object as entries see it.
+func (w *world) known(object string) string {
+	if w.policy.BlindToObjects {
+		return ""
+	}
+	return object
+}
+
+func (w *world) trip(from, to place.Zone) time.Duration {
+	switch {
+	case from == to:
+		return w.load.ZoneTrip.Duration()
+	case from.Region() == to.Region():
+		return w.load.RegionTrip.Duration()
+	}
+	return w.load.WorldTrip.Duration()
+}
+
+// arrivals makes the requests of a kind from a zone, with the patterns.
+func (w *world) arrivals(k *Kind, zone string) {
+	rate := k.PerSecond / float64(len(w.zones))
+	for _, p := range w.load.Patterns {
+		if p.Kind == PatternBurst && p.in(zone) && p.active(w.events.Now()) {
+			rate *= p.X
+		}
+	}
+	gap := time.Duration(w.random.ExpFloat64() / rate * float64(time.Second))
+	w.events.After(gap, func() {
+		if w.events.Now() >= w.load.Length.Duration() {
+			return
+		}
+		w.arrive(k, zone)
+		w.arrivals(k, zone)
+	})
+}
+
+// arrive sends a request, and what a caller that repeats at once adds to it.
+func (w *world) arrive(k *Kind, zone string) {
+	at, times := zone, 1
+	for _, p := range w.load.Patterns {
+		if !p.in(zone) || !p.active(w.events.Now()) || w.random.Float64() >= p.Share {
+			continue
+		}
+		switch p.Kind {
+		case PatternShift:
+			at = p.To
+		case PatternRepeat:
+			times += int(p.X)
+		}
+	}
+	region := string(place.Zone(zone).Region())
+	object := fmt.Sprintf("%s-%s-%d", k.Name, region, w.random.IntN(k.Objects))
+	for range times {
+		r := &request{world: w, kind: k, zone: zone, at: at, object: object, begun: w.events.Now(), returns: k.Returns}
+		r.send()
+	}
+}
+
+// request is one request of a caller, with its returns.
+type request struct {
+	world   *world
+	kind    *Kind
+	zone    string
+	at      string
+	object  string
+	begun   time.Duration
+	returns int
+}
+
+func (r *request) deadline() time.Time {
+	return time.Unix(1, 0).Add(r.begun + r.kind.Deadline.Duration())
+}
+
+func (r *request) send() {
+	w := r.world
+	entries := w.nearest(r.at)
+	to := entries[w.random.IntN(len(entries))]
+	w.events.After(callerTrip/2, func() { to.serve(r.kind, r.object, r.deadline(), r.ended) })
+}
+
+// ended counts the request or lets its caller come back.
+func (r *request) ended(e end) {
+	w := r.world
+	took := w.events.Now() + callerTrip/2 - r.begun
+	left := r.kind.Deadline.Duration() - took
+	again := e.notRun || !r.kind.Once
+	switch {
+	case e.served:
+		w.result.served(r, took)
+	case again && r.returns > 0 && left > 0:
+		r.returns--
+		w.events.After(min(e.comeBack, time.Duration(returnShare*float64(left))), r.send)
+	default:
+		w.result.lost(r, e.notRun)
+	}
+}
+
+// strike makes a pattern change the targets and undo it.
+func (w *world) strike(p *Pattern) {
+	w.events.After(p.At.Duration(), func() {
+		for _, t := range w.pick(p) {
+			switch p.Kind {
+			case PatternSlow:
+				t.slow = p.X
+				w.events.After(p.For.Duration(), func() { t.slow = 1 })
+			case PatternFail:
+				t.fails = p.X
+				w.events.After(p.For.Duration(), func() { t.fails = 0 })
+			case PatternDown:
+				t.fall()
+				w.events.After(p.For.Duration(), func() { t.down = false })
+			}
+		}
+	})
+}
+
+// pick returns the targets that a pattern strikes, drawn in a fixed order.
+func (w *world) pick(p *Pattern) []*target {
+	var struck []*target
+	for _, s := range w.load.Services {
+		for _, m := range w.members(s.Name) {
+			if t := w.targets[m.Target()]; p.in(t.zone) && w.random.Float64() < p.Share {
+				struck = append(struck, t)
+			}
+		}
+	}
+	return struck
+}
