Refuse where a queue stays, and spill to free slots only

Cause: each entry hears from a target seldom, about once in 4 s on the smaller deployments. A request that its own target had no room for queued at one that doesn't know its object, where most were cut off at the time-out. And a queue was bounded by the time-out alone, so that above the capacity nearly every answer was late.

Now: an unknown load counts as the mean of what the service's targets said of late; a target that doesn't know the object gets a request only if a slot is free, and one that rejected it keeps its place in the order; where a queue has been long for 2 s, waits are bounded by 1.5 times what the aim leaves.

--- a/front/probe.go
+++ b/front/probe.go
@@ -50,6 +50,6 @@
 		}
 	}
 	s.stats.probes.WithLabelValues(outcome).Inc()
-	s.chooser.Probed(m, healthy, s.now())
+	s.chooser.Probed(m, healthy)
 	s.log.WithFields(logrus.Fields{"target": m.Target(), "healthy": healthy, "cold": health.Cold(), "error": err}).Info("A target was probed.")
 }
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -25,6 +25,10 @@
 	// zone or region and back before a connection has shown it.
 	tripRegion = 3 * time.Millisecond
 	tripWorld  = 40 * time.Millisecond
+	// waitOfAim is how many times what the aim leaves beside the work a request
+	// may wait. Above one, since the load of a target is known late and its queue
+	// may be shorter; far above, every answer would be late.
+	waitOfAim = 1.5
 	// plainSlow is how slow a target may be for its answers to show how long
 	// the service works.
 	plainSlow = 1.5
@@ -114,10 +118,10 @@
 func (s *Send) Familiar() bool { return s.familiar }
 
 // of returns what was learned of the target's present process.
-func (c *Chooser) of(m *fleet.Member, now time.Time) *learned {
+func (c *Chooser) of(m *fleet.Member, s *service, now time.Time) *learned {
 	k, found := c.targets[m.Target()]
 	if !found || k.process != m.Process() {
-		k = &known{process: m.Process(), learned: newLearned(now)}
+		k = &known{process: m.Process(), learned: newLearned(s, now)}
 		c.targets[m.Target()] = k
 	}
 	return k.learned
@@ -139,11 +143,11 @@
 func (c *Chooser) Choose(members []*fleet.Member, q Query, now time.Time) (*Send, error) {
 	s := c.service(q.Service, q.Aim)
 	object := xxhash.Sum64String(q.Object)
-	candidates := c.candidates(members, q, s, object, now)
+	work := s.known()
+	candidates := c.candidates(members, q, s, work, object, now)
 	if len(candidates) == 0 {
 		return nil, errs.NotRun(errs.ReasonNoTarget, q.Aim, "service %s: no target may get the request", q.Service)
 	}
-	work := s.known()
 	for {
 		i, estimate := c.best(candidates, q, work, now)
 		if i < 0 {
@@ -161,7 +165,7 @@
 
 func (c *Chooser) send(chosen Candidate, estimate Estimate, s *service, object uint64, q Query, now time.Time) *Send {
 	c.mu.Lock()
-	l := c.of(chosen.Member, now)
+	l := c.of(chosen.Member, s, now)
 	c.mu.Unlock()
 	send := &Send{
 		chooser: c, member: chosen.Member, service: s, learned: l, object: object, keyed: q.Object != "",
@@ -186,7 +190,7 @@
 // there is a target in the region.
 func (c *Chooser) best(candidates []Candidate, q Query, work Work, now time.Time) (int, Estimate) {
 	fits := func(x Candidate, e Estimate) bool {
-		if x.Suspect || e.Total > q.Left {
+		if x.Suspect || e.Total > q.Left || !worthWaiting(x, e) {
 			return false
 		}
 		return !x.Cold || c.cold.Room(x.Member.Target(), q.ColdShare(x.Member), now)
@@ -211,11 +215,25 @@
 	return Best(candidates, work, func(x Candidate, _ Estimate) bool { return !x.Cold })
 }
 
+// worthWaiting tells whether a request may wait at a candidate. At one that
+// doesn't know the object it takes a free slot or none: waiting there, it would
+// take the place of several that know theirs. At the others a burst may queue,
+// but a queue that stays serves no more requests, only each of them late.
+func worthWaiting(x Candidate, e Estimate) bool { return e.Wait == 0 || x.knows() && !x.Standing }
+
+// longestWait returns how long a request may wait at a target.
+func longestWait(aim time.Duration, work Work) time.Duration {
+	return max(time.Duration(waitOfAim*float64(aim-work.Hit)), work.Hit)
+}
+
 // full makes the refusal of a request for which no target has room, with the
 // time after which one is expected to have.
 func full(candidates []Candidate, q Query, work Work) error {
 	_, least := Best(candidates, work, func(Candidate, Estimate) bool { return true })
 	comeBack := max(least.Total-q.Left, work.Hit)
+	if q.Aim > 0 {
+		comeBack = max(comeBack, least.Wait-longestWait(q.Aim, work))
+	}
 	// Callers that were refused together should not return together.
 	comeBack = time.Duration(float64(comeBack) * (comeBackLeast + rand.Float64()))
 	return errs.NotRun(errs.ReasonTargetBusy, comeBack, "service %s: no target has room within %v; the least wait is %v", q.Service, q.Left, least.Wait)
@@ -225,25 +243,28 @@
 // told to return; the greatest is one more.
 const comeBackLeast = 0.5
 
-func (c *Chooser) candidates(members []*fleet.Member, q Query, s *service, object uint64, now time.Time) []Candidate {
+func (c *Chooser) candidates(members []*fleet.Member, q Query, s *service, work Work, object uint64, now time.Time) []Candidate {
 	familiar := s.objects.familiar(object, now)
 	candidates := make([]Candidate, 0, len(members))
 	orders := make([]float64, 0, len(members))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range members {
-		if !q.Allowed(m.Zone().Region()) || slices.Contains(q.Tried, m.Target()) {
+		if !q.Allowed(m.Zone().Region()) {
 			continue
 		}
 		hash := rand.Uint64()
 		if q.Object != "" {
 			hash = mix(object ^ xxhash.Sum64String(string(m.Target())))
 		}
-		candidate := c.candidate(m, now)
+		candidate := c.candidate(m, q, s, work, now)
 		candidates = append(candidates, candidate)
 		orders = append(orders, order(hash, candidate.Distance))
 	}
 	rank(candidates, orders)
+	// A target that has rejected the request keeps its place: the next one does
+	// not know the object because of that.
+	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return slices.Contains(q.Tried, x.Member.Target()) })
 	if q.Object != "" {
 		for i := range candidates {
 			candidates[i].Familiar = slices.Contains(familiar[:], candidates[i].Member.Process())
@@ -287,8 +308,8 @@
 	}
 }
 
-func (c *Chooser) candidate(m *fleet.Member, now time.Time) Candidate {
-	l := c.of(m, now)
+func (c *Chooser) candidate(m *fleet.Member, q Query, s *service, work Work, now time.Time) Candidate {
+	l := c.of(m, s, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
@@ -303,10 +324,12 @@
 			trip = tripWorld
 		}
 	}
-	return Candidate{
+	candidate := Candidate{
 		Member: m, Distance: distance, Load: l.load(now), Slow: l.slowNow(now), Fails: l.fails,
 		Trip: trip, Cold: m.Cold(now), Suspect: l.suspect,
 	}
+	candidate.Standing = l.queued(q.Aim > 0 && Expect(candidate, work).Wait > longestWait(q.Aim, work), now)
+	return candidate
 }
 
 func (c *Chooser) distance(zone place.Zone) Distance {
@@ -335,6 +358,7 @@
 	if report != nil {
 		l.others = max(0, float64(report.Running+report.Waiting-len(l.running)))
 		l.reportedAt = now
+		s.service.loaded(l.others, now)
 	}
 	switch o := outcome.(type) {
 	case Answered:
@@ -404,10 +428,14 @@
 }
 
 // Probed takes in the answer to a probe.
-func (c *Chooser) Probed(m *fleet.Member, healthy bool, now time.Time) {
+func (c *Chooser) Probed(m *fleet.Member, healthy bool) {
 	c.mu.Lock()
-	l := c.of(m, now)
+	k, found := c.targets[m.Target()]
 	c.mu.Unlock()
+	if !found || k.process != m.Process() {
+		return
+	}
+	l := k.learned
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if healthy {
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -19,9 +19,17 @@
 	// forgetTime is how long it takes until half of what speaks against a
 	// target is forgotten, so that it is tried again.
 	forgetTime = 3 * time.Second
-	// reportAge is how long a target's word on its load counts in full; it
-	// counts for nothing at twice that age.
+	// reportAge is how long a target's word on its load counts in full. At twice
+	// that age the usual load of its service counts in its place.
 	reportAge = 2 * time.Second
+	// standingTime is how long a queue has to be longer than requests should
+	// wait to count as one that stays. Bursts of users last for seconds.
+	standingTime = 2 * time.Second
+	// usualGain is the weight of the newest word of any target in the usual load
+	// of its service, and usualHalf the time in which half of that is forgotten
+	// when no target says anything.
+	usualGain = 0.1
+	usualHalf = 2 * time.Second
 	// breaksMax is how many connections of a target may break in a row without
 	// an answer between them before it counts as unreachable.
 	breaksMax = 3
@@ -63,6 +71,8 @@
 
 // learned is what this entry has learned of one process of a target.
 type learned struct {
+	service *service
+
 	mu sync.Mutex
 	// running holds when each of this entry's requests at the target was sent.
 	running map[*Send]struct{}
@@ -72,15 +82,19 @@
 	slow       float64
 	fails      float64
 	updated    time.Time
-	breaks     int
-	suspect    bool
-	probes     int
-	probeAt    time.Time
-	trip       time.Duration
+	// standing tells that the queue is one that stays, and changing since when it
+	// seems to be otherwise.
+	standing bool
+	changing time.Time
+	breaks   int
+	suspect  bool
+	probes   int
+	probeAt  time.Time
+	trip     time.Duration
 }
 
-func newLearned(now time.Time) *learned {
-	return &learned{running: map[*Send]struct{}{}, slow: 1, updated: now}
+func newLearned(s *service, now time.Time) *learned {
+	return &learned{service: s, running: map[*Send]struct{}{}, slow: 1, updated: now}
 }
 
 // fade forgets a part of what is known, by the time that has passed.
@@ -96,12 +110,14 @@
 }
 
 // load returns how many requests run or wait at the target, as far as known.
+// Where there are many entries, each hears from a target seldom; if what it does
+// not know counted as idle, it would send to targets that are full.
 func (l *learned) load(now time.Time) float64 {
 	trust := 1.0
 	if age := now.Sub(l.reportedAt); age > reportAge {
 		trust = max(0, 2-float64(age)/float64(reportAge))
 	}
-	return float64(len(l.running)) + l.others*trust
+	return float64(len(l.running)) + trust*l.others + (1-trust)*l.service.usualLoad(now)
 }
 
 // slowNow returns how slow the target is, counting what has been running there
@@ -116,6 +132,22 @@
 	return slow
 }
 
+// queued notes whether the target's queue is longer than requests should wait,
+// and tells whether it is one that stays. It begins and ceases to count as such
+// after standingTime.
+func (l *learned) queued(long bool, now time.Time) bool {
+	switch {
+	case long == l.standing:
+		l.changing = time.Time{}
+	case l.changing.IsZero():
+		l.changing = now
+	case now.Sub(l.changing) >= standingTime:
+		l.standing = long
+		l.changing = time.Time{}
+	}
+	return l.standing && long
+}
+
 func (l *learned) observe(took, expected time.Duration) {
 	if expected <= 0 {
 		return
@@ -136,9 +168,14 @@
 
 // service is what this entry has learned of a service.
 type service struct {
-	mu      sync.Mutex
-	work    Work
 	objects *objects
+
+	mu   sync.Mutex
+	work Work
+	// usual is the load that other entries make at a target, in the mean of what
+	// targets said of late, the last of them at usualAt.
+	usual   float64
+	usualAt time.Time
 }
 
 // Before a service is known its work is taken from the aim of its route.
@@ -167,6 +204,20 @@
 	s.work.Miss = max(s.work.Miss, s.work.Hit)
 }
 
+// loaded learns from the load that other entries make at one of the targets.
+func (s *service) loaded(others float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usual += usualGain * (others - s.usual)
+	s.usualAt = now
+}
+
+func (s *service) usualLoad(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usual * math.Exp2(-now.Sub(s.usualAt).Seconds()/usualHalf.Seconds())
+}
+
 func (s *service) known() Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -127,7 +127,7 @@
 	if due := c.Probes(book.View(), now); len(due) > 0 {
 		t.Error("the same probe is due again at once")
 	}
-	c.Probed(lost.Member(), true, now)
+	c.Probed(lost.Member(), true)
 	if next := choose(t, c, members, query("x"), now.Add(10*time.Second)); next.Member().Target() != lost.Member().Target() {
 		t.Error("a target that is well again is not used")
 	}
@@ -206,3 +206,65 @@
 		t.Errorf("%d requests went to a cold target, want %d", sent, share)
 	}
 }
+
+// TestUnknownLoad: a target that this entry has not heard of is taken to be as
+// busy as those that it has.
+func TestUnknownLoad(t *testing.T) {
+	members, c := fleetOf("a/1", "a/1", "a/1", "a/1"), newChooser()
+	const reports, running, waiting = 50, 3, 0
+	for i := range reports {
+		q := query(fmt.Sprint("object", i))
+		q.Tried = []place.Target{"t3"}
+		send := choose(t, c, members, q, start)
+		send.Done(pick.Answered{}, &pick.Report{Running: running, Waiting: waiting}, 0, start)
+	}
+	q := query("x")
+	q.Tried = []place.Target{"t0", "t1", "t2"}
+	if send := choose(t, c, members, q, start); send.Load() < running-1 {
+		t.Errorf("a target of which nothing is known counts as having %.1f requests, though the others have %d", send.Load(), running+waiting)
+	}
+}
+
+// TestStandingQueue: a burst may queue at the target that knows the object, but
+// where the queue stays, requests are refused that would only be late.
+func TestStandingQueue(t *testing.T) {
+	const busy, step, least = 16, 100 * time.Millisecond, 2 * time.Second
+	members, c := fleetOf("a/1"), newChooser()
+	for passed := time.Duration(0); passed < 2*least; passed += step {
+		send, err := c.Choose(members, query("x"), start.Add(passed))
+		if err != nil {
+			if passed < least {
+				t.Errorf("a request is refused %v after the queue grew, want not before %v", passed, least)
+			}
+			return
+		}
+		send.Done(pick.Answered{}, &pick.Report{Running: 4, Waiting: busy - 4}, 0, start.Add(passed))
+	}
+	t.Error("no request is refused, though the queue stays")
+}
+
+// TestSpillsToFreeSlots: a target that doesn't know the object gets a request
+// only if it can begin with it at once.
+func TestSpillsToFreeSlots(t *testing.T) {
+	tests := map[string]struct {
+		running, waiting int
+		refused          bool
+	}{
+		"free": {0, 0, false},
+		"full": {4, 8, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			members, c := fleetOf("a/1", "a/1"), newChooser()
+			home := choose(t, c, members, query("x"), start).Member().Target()
+			q := query("y")
+			q.Tried = []place.Target{home}
+			choose(t, c, members, q, start).Done(pick.Answered{}, &pick.Report{Running: test.running, Waiting: test.waiting}, 0, start)
+			q = query("x")
+			q.Tried = []place.Target{home}
+			if _, err := c.Choose(members, q, start); (err != nil) != test.refused {
+				t.Errorf("refused: %v, want %v", err, test.refused)
+			}
+		})
+	}
+}
--- a/pick/score.go
+++ b/pick/score.go
@@ -47,6 +47,9 @@
 	Trip time.Duration
 	// Cold tells that the target has just started.
 	Cold bool
+	// Standing tells that the target's queue has long been longer than requests
+	// should wait.
+	Standing bool
 	// Suspect tells that the target could not be reached.
 	Suspect bool
 }
@@ -57,7 +60,6 @@
 	Hit, Miss time.Duration
 }
 
-// The weights of the score, as parts of the work of a service.
 // The weights of the score, as parts of the work of a service.
 const (
 	// homeWeight is how much more often a target of the own region comes first
