--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -74,6 +74,7 @@
 			newDrainCommand(),
 			newStatusCommand(),
 			newReadyCommand(),
+			newReplayCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/cmd/endivechute/main_test.go
+++ b/cmd/endivechute/main_test.go
@@ -27,6 +27,10 @@
 		"nobody listens":    {"dump --operator-address=127.0.0.1:1", exitFailed, "127.0.0.1:1"},
 		"no settings":       {"front --platform-settings=/nonexistent", exitUsage, "/nonexistent"},
 		"odd log level":     {"front --log-level=loud", exitUsage, "log-level"},
+		"no replay file":    {"replay", exitUsage, "0 files"},
+		"no such replay":    {"replay /nonexistent", exitUsage, "/nonexistent"},
+		"no replay in it":   {"replay ../../examples/kigali/fleet.json", exitUsage, "replay file"},
+		"a replay":          {"replay ../../examples/replay/steady.json", 0, ""},
 		"a good folder":     {"policy check ../../examples/kigali", 0, ""},
 		"the other example": {"policy check ../../examples/bonoseguro", 0, ""},
 	}
--- a/replay/file.go
+++ b/replay/file.go
@@ -91,12 +91,14 @@
 	// PatternFail makes a share of the targets fail the part X of their
 	// requests.
 	PatternFail = "fail"
+	// PatternHang makes a share of the targets take requests and never answer.
+	PatternHang = "hang"
 	// PatternDown takes a share of the targets away; they return knowing
 	// nothing.
 	PatternDown = "down"
 )
 
-var patterns = []string{PatternBurst, PatternShift, PatternRepeat, PatternSlow, PatternFail, PatternDown}
+var patterns = []string{PatternBurst, PatternShift, PatternRepeat, PatternSlow, PatternFail, PatternHang, PatternDown}
 
 // Pattern is a trouble for some time.
 type Pattern struct {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -46,7 +46,7 @@
 func TestPatterns(t *testing.T) {
 	const during, after = 0.7, 0.9
 	for _, name := range []string{
-		"steady", "burst", "burst-one-zone", "shift", "repeats", "fewer-slots", "slow", "very-slow", "failing", "zone-back",
+		"steady", "burst", "burst-one-zone", "shift", "repeats", "fewer-slots", "slow", "very-slow", "failing", "hanging", "zone-back",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/replay/run.go
+++ b/replay/run.go
@@ -202,6 +202,9 @@
 			case PatternFail:
 				t.fails = p.X
 				w.events.After(p.For.Duration(), func() { t.fails = 0 })
+			case PatternHang:
+				t.hangs = true
+				w.events.After(p.For.Duration(), func() { t.hangs = false })
 			case PatternDown:
 				t.fall()
 				w.events.After(p.For.Duration(), func() { t.down = false })
--- a/replay/target.go
+++ b/replay/target.go
@@ -20,6 +20,7 @@
 	// known are the objects, the latest last.
 	known []string
 	down  bool
+	hangs bool
 	slow  float64
 	fails float64
 }
@@ -38,6 +39,7 @@
 	switch {
 	case t.down:
 		v.ended(pick.Unreachable{})
+	case t.hangs:
 	case len(t.running) < t.service.Slots:
 		t.begin(v)
 	case len(t.waiting) < t.service.Queue:
