Compress a long list of objects on its way between instances

Cause: a process that starts takes the whole list of targets from a seed or from the instance that it follows. From about 13,000 targets on, a list would not have fitted into one frame at all.

Ruled out: to hand lists on from process to process, which needs more steps before a process is ready.

Before: TestPackObjects has nothing to call; 3,000 objects took 0.4 MB of text. After: less than a quarter of that.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -349,16 +350,45 @@
 		if !known || (len(objects) == 0 && !whole && revision <= ask.After[kind]) {
 			continue
 		}
-		packed := pack(objects)
-		if left -= size(packed); left < 0 && len(answer.Kinds) > 0 {
+		part := f.part(kind, objects, revision, whole)
+		if left -= size(part); left < 0 && len(answer.Kinds) > 0 {
 			break
 		}
 		news = news || whole || len(objects) > 0
-		answer.Kinds = append(answer.Kinds, wire.FollowedKind{Kind: kind, Revision: revision, Whole: whole, Objects: packed})
+		answer.Kinds = append(answer.Kinds, part)
 	}
 	return answer, news
 }
 
+// packLeast is from how many objects on a whole list is compressed: below, it
+// fits into few packets as it is.
+const packLeast = 50
+
+// part makes the answer for one kind. A whole list is compressed once for all
+// that ask for it within packedTime, though it has changed since: they ask for
+// the changes next.
+func (f *Feed) part(kind string, objects []platform.Object, revision uint64, whole bool) wire.FollowedKind {
+	part := wire.FollowedKind{Kind: kind, Revision: revision, Whole: whole}
+	if !whole || len(objects) < packLeast {
+		part.Objects = pack(objects)
+		return part
+	}
+	m := f.mirrors[kind]
+	if packed, at, held := m.packedList(f.now()); held {
+		part.Packed, part.Revision = packed, at
+		return part
+	}
+	packed, err := wire.PackObjects(pack(objects))
+	if err != nil {
+		f.log.WithError(err).WithField("kind", kind).Error("A list can't be compressed; it is sent as it is.")
+		part.Objects = pack(objects)
+		return part
+	}
+	m.keepPacked(packed, revision, f.now())
+	part.Packed = packed
+	return part
+}
+
 func pack(objects []platform.Object) []wire.FollowedObject {
 	packed := make([]wire.FollowedObject, 0, len(objects))
 	for _, o := range objects {
@@ -367,9 +397,9 @@
 	return packed
 }
 
-func size(objects []wire.FollowedObject) int {
-	total := 0
-	for _, o := range objects {
+func size(part wire.FollowedKind) int {
+	total := len(part.Packed)
+	for _, o := range part.Objects {
 		total += len(o.Name) + len(o.Spec)
 	}
 	return total
@@ -381,8 +411,13 @@
 		if !slices.Contains(kinds, k.Kind) {
 			continue
 		}
-		objects := make([]platform.Object, 0, len(k.Objects))
-		for _, o := range k.Objects {
+		came, err := unpacked(k)
+		if err != nil {
+			f.log.WithError(err).WithField("kind", k.Kind).Warn("What another instance sent can't be read; it is asked again.")
+			continue
+		}
+		objects := make([]platform.Object, 0, len(came))
+		for _, o := range came {
 			objects = append(objects, platform.NewObject(o.Name, o.Revision, o.Spec, o.Deleted))
 		}
 		if k.Whole {
@@ -393,6 +428,14 @@
 	}
 }
 
+func unpacked(k wire.FollowedKind) ([]wire.FollowedObject, error) {
+	if len(k.Packed) == 0 {
+		return k.Objects, nil
+	}
+	objects, err := wire.UnpackObjects(k.Packed)
+	return objects, errors.Wrap(err, "read a list")
+}
+
 func (f *Feed) ask(patience time.Duration) *wire.Follow {
 	after := make(map[string]uint64, len(kinds))
 	for _, kind := range kinds {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -300,3 +301,24 @@
 	store.Put("config", "main", fakes.Config(3, 1000))
 	within(t, 2*time.Second, "a configuration without the instance that was followed", func() bool { return version(follower) == 3 })
 }
+
+// TestFollowsManyTargets: a follower gets a long list, which travels compressed,
+// and the changes that come right after it.
+func TestFollowsManyTargets(t *testing.T) {
+	const targets = 300
+	store, feeds := newStore(t), &group{}
+	for i := range targets {
+		store.Put("servers", fmt.Sprint("t", i), entry)
+	}
+	first := start(t, store, "i1", &zone{live: []place.Instance{"i1"}, feeds: feeds})
+	within(t, 3*time.Second, "ready", first.Ready)
+	feeds.set("i1", first)
+	late := start(t, store, "i2", &zone{live: []place.Instance{"i1"}, feeds: feeds})
+	within(t, 3*time.Second, "all targets", func() bool { return late.View().Size() == targets })
+	store.Delete("servers", "t7")
+	third := start(t, store, "i3", &zone{live: []place.Instance{"i1"}, feeds: feeds})
+	within(t, 3*time.Second, "one target less", func() bool { return late.View().Size() == targets-1 && third.View().Size() == targets-1 })
+	if late.Source() != "i1" || third.Source() != "i1" {
+		t.Errorf("the sources are %s and %s, want i1", late.Source(), third.Source())
+	}
+}
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/endivechute/endivechute/platform"
 )
@@ -34,6 +35,29 @@
 	// took it in, and complete says since which revision none is missing.
 	changes  []change
 	complete uint64
+	// packed is the compressed list as of packedRevision, made at packedAt.
+	packed         []byte
+	packedRevision uint64
+	packedAt       time.Time
+}
+
+// packedTime is how long a compressed list is handed on: the age that the
+// knowledge of an instance may have that is followed.
+const packedTime = ageMax
+
+// packedList returns the compressed list and its revision if there is a recent
+// one.
+func (m *mirror) packedList(now time.Time) (packed []byte, revision uint64, held bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recent := m.packed != nil && now.Sub(m.packedAt) < packedTime && m.packedRevision >= m.complete
+	return m.packed, m.packedRevision, recent
+}
+
+func (m *mirror) keepPacked(packed []byte, revision uint64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.packed, m.packedRevision, m.packedAt = packed, revision, now
 }
 
 type change struct {
--- a/wire/follow.go
+++ b/wire/follow.go
@@ -1,5 +1,14 @@
 package wire
 
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
 // The kinds of the messages by which the platform's objects are handed on.
 const (
 	KindFollow   Kind = 60
@@ -24,12 +33,53 @@
 	Spec     []byte
 }
 
-// FollowedKind is what the sender knows of one kind of object.
+// FollowedKind is what the sender knows of one kind of object. A long list of
+// objects is compressed and stands in Packed.
 type FollowedKind struct {
 	Kind     string           `msgpack:"kind"`
 	Revision uint64           `msgpack:"revision"`
 	Whole    bool             `msgpack:"whole"`
 	Objects  []FollowedObject `msgpack:"objects"`
+	Packed   []byte           `msgpack:"packed"`
+}
+
+// packedObjectsMax bounds what a compressed list may unpack to: 100,000 objects
+// of about 600 bytes.
+const packedObjectsMax = 64 << 20
+
+// PackObjects compresses a list of objects.
+func PackObjects(objects []FollowedObject) ([]byte, error) {
+	var out bytes.Buffer
+	writer, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress objects")
+	}
+	if err := msgpack.NewEncoder(writer).Encode(objects); err != nil {
+		return nil, errors.Wrap(err, "compress objects")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress objects")
+	}
+	return out.Bytes(), nil
+}
+
+// UnpackObjects returns the objects of a compressed list. The error holds
+// ErrFrame in its chain.
+func UnpackObjects(packed []byte) ([]FollowedObject, error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	defer func() { _ = reader.Close() }()
+	plain, err := io.ReadAll(io.LimitReader(reader, packedObjectsMax+1))
+	if err == nil && len(plain) > packedObjectsMax {
+		err = errors.Newf("more than %d bytes come out", packedObjectsMax)
+	}
+	var objects []FollowedObject
+	if err == nil {
+		err = msgpack.Unmarshal(plain, &objects)
+	}
+	if err != nil {
+		return nil, errors.Wrap(errors.Mark(err, ErrFrame), "unpack compressed objects")
+	}
+	return objects, nil
 }
 
 // Followed answers a Follow. AgeMillis is how long ago the store confirmed what
--- /dev/null
+++ b/wire/follow_test.go
@@ -0,0 +1,63 @@
+package wire_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/endivechute/endivechute/wire"
+)
+
+func manyObjects(n int) []wire.FollowedObject {
+	objects := make([]wire.FollowedObject, 0, n)
+	for i := range n {
+		spec := fmt.Sprintf(`{"service":"search","address":"10.0.%d.%d:8000","zone":"a1","max_concurrency":4,"state":"ready","born":%d}`, i/250, i%250, 1777101894923+i)
+		objects = append(objects, wire.FollowedObject{Name: fmt.Sprintf("i-%08x", i*2654435761), Revision: uint64(i + 1), Spec: []byte(spec)})
+	}
+	return objects
+}
+
+// TestPackObjects: a list comes back as it was, and is less than a quarter as
+// long on the way.
+func TestPackObjects(t *testing.T) {
+	objects := manyObjects(3000)
+	packed, err := wire.PackObjects(objects)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plain := 0
+	for _, o := range objects {
+		plain += len(o.Name) + len(o.Spec)
+	}
+	if len(packed) > plain/4 {
+		t.Errorf("%d bytes are packed into %d, want a quarter or less", plain, len(packed))
+	}
+	back, err := wire.UnpackObjects(packed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(objects, back, cmp.AllowUnexported(wire.FollowedObject{})); diff != "" {
+		t.Errorf("unpacked objects (-want +got):\n%s", diff)
+	}
+}
+
+func TestUnpackRefuses(t *testing.T) {
+	good, err := wire.PackObjects(manyObjects(100))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string][]byte{
+		"empty":     {},
+		"cut short": good[:len(good)/2],
+		"noise":     []byte("no compressed list at all"),
+	}
+	for name, packed := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := wire.UnpackObjects(packed); !errors.Is(err, wire.ErrFrame) {
+				t.Errorf("UnpackObjects gave %v, want ErrFrame", err)
+			}
+		})
+	}
+}
