Send requests without an object to the least busy target

Cause: a request that concerns no object was given a random order of the targets, and all but the first then counted as not knowing it, at the cost of teaching. So it went to a random target as long as that had time, and, since spills go to free slots only, was refused where others could queue it.

Now every target counts as knowing, none comes first, and among those that are alike the order is drawn.

Before: TestNoObject finds up to twelve requests at one target with four slots while others are free. After: each has its four, and eight when twice as many came.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -253,23 +253,32 @@
 		if !q.Allowed(m.Zone().Region()) {
 			continue
 		}
-		hash := rand.Uint64()
-		if q.Object != "" {
-			hash = mix(object ^ xxhash.Sum64String(string(m.Target())))
-		}
+		hash := mix(object ^ xxhash.Sum64String(string(m.Target())))
 		candidate := c.candidate(m, q, s, work, now)
 		candidates = append(candidates, candidate)
 		orders = append(orders, order(hash, candidate.Distance))
 	}
+	if q.Object == "" {
+		return anyOrder(candidates, q)
+	}
 	rank(candidates, orders)
 	// A target that has rejected the request keeps its place: the next one does
 	// not know the object because of that.
 	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return slices.Contains(q.Tried, x.Member.Target()) })
-	if q.Object != "" {
-		for i := range candidates {
-			candidates[i].Familiar = slices.Contains(familiar[:], candidates[i].Member.Process())
-		}
+	for i := range candidates {
+		candidates[i].Familiar = slices.Contains(familiar[:], candidates[i].Member.Process())
+	}
+	return candidates
+}
+
+// anyOrder returns the candidates for a request that concerns no object: none
+// knows more than another, and where several are alike, each is as good.
+func anyOrder(candidates []Candidate, q Query) []Candidate {
+	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return slices.Contains(q.Tried, x.Member.Target()) })
+	for i := range candidates {
+		candidates[i].Familiar = true
 	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
 }
 
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -268,3 +268,28 @@
 		})
 	}
 }
+
+// TestNoObject: requests that concern no object go to the targets that are
+// expected to answer first, spread over those that are alike, and queue at each
+// before any is refused.
+func TestNoObject(t *testing.T) {
+	members, c := fleetOf("a/1", "a/1", "a/1"), newChooser()
+	const slots = 4
+	counts := map[place.Target]int{}
+	for range slots * len(members) {
+		counts[choose(t, c, members, query(""), start).Member().Target()]++
+	}
+	for _, m := range members {
+		if n := counts[m.Target()]; n != slots {
+			t.Errorf("%d requests went to target %s with %d slots, while others were free", n, m.Target(), slots)
+		}
+	}
+	for range slots * len(members) {
+		counts[choose(t, c, members, query(""), start).Member().Target()]++
+	}
+	for _, m := range members {
+		if n := counts[m.Target()]; n != 2*slots {
+			t.Errorf("%d requests are at target %s, want as many at each", n, m.Target())
+		}
+	}
+}
