Say what the order of an object is taken among

Cause: the comment on a candidate's rank still named the availability zone; the order is over the whole service since placement by object. Comment only.

--- a/pick/score.go
+++ b/pick/score.go
@@ -32,10 +32,11 @@
 type Candidate struct {
 	Member   *fleet.Member
 	Distance Distance
-	// Rank is the position in the rendezvous order of the request's object
-	// among the targets of the same availability zone, 0 for the first.
+	// Rank is the position in the rendezvous order of the request's object among
+	// all targets of the service that can be reached, 0 for the first.
 	Rank int
-	// Familiar tells that the target has handled the object of late.
+	// Familiar tells that the target has handled the object of late, or that the
+	// request concerns none.
 	Familiar bool
 	// Load is how many requests run or wait at the target.
 	Load float64
