--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -60,8 +60,9 @@
 	"reload": func(w *world, random *rand.Rand, _ time.Duration) {
 		n := w.any(random)
 		n.hangups++
-		lines := n.Lines() + fmt.Sprintf("contract_params.retry_budget_slack=%d\n", 100+n.hangups)
-		if os.WriteFile(n.path("conf"), []byte(lines), 0o644) == nil && random.IntN(2) == 0 {
+		changed := n.Node
+		changed.RetrySlack = retrySlack + n.hangups
+		if os.WriteFile(n.path("conf"), []byte(changed.Lines()), 0o644) == nil && random.IntN(2) == 0 {
 			n.signal(syscall.SIGHUP)
 		}
 	},
