Let a target that was slow for its first answers recover

Cause: the mean service time of a target decayed only when it was read.

Ruled out: random requests to the slower of two targets. They would send a part of all requests to a target that is slow for good.

Change: an answer that is faster counts more the longer ago the last one was, and a mean that comes from answers halves after twice its own value, 0.25 s to 2 s. Canceled requests keep the half-life of 2 s.

--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -29,9 +30,18 @@
 	// canceledWeight is the inverse weight of one canceled request in the mean
 	// service time.
 	canceledWeight = 8
-	// ServiceTimeHalfLife is the time after which a mean service time is halved
-	// if no answer updates it, so that a target that was slow is tried again.
+	// serviceWeightMax is the highest weight of one answer in the mean service
+	// time.
+	serviceWeightMax = 0.5
+	// ServiceTimeHalfLife is the longest time after which a mean service time is
+	// halved if no answer updates it, so that a target that was slow is tried
+	// again.
 	ServiceTimeHalfLife = 2 * time.Second
+	// serviceHalfLifeMin is the shortest such time, and serviceHalfLifeAnswers
+	// times the mean service time is the time between the two limits. A target
+	// that answers quickly is tried again soon.
+	serviceHalfLifeMin     = 250 * time.Millisecond
+	serviceHalfLifeAnswers = 2
 	// CancelTime is how long a target may take to stop a request after its
 	// connection was closed.
 	CancelTime = 20 * time.Millisecond
@@ -142,6 +152,7 @@
 	shedAt           time.Duration
 	service          time.Duration // mean time from dispatch to answer
 	serviceUpdatedAt time.Duration // when service was last updated
+	serviceHalfLife  time.Duration // time without updates after which service is halved
 	failures         int           // consecutive
 	failedAt         time.Duration // when the last failure occurred
 }
@@ -360,7 +371,7 @@
 	switch outcome {
 	case OutcomeRan:
 		l.failures = 0
-		l.updateService(now-began, serviceTimeWeight, now)
+		l.observeAnswer(now-began, now)
 		l.restoreCapacity(now)
 	case OutcomeShed:
 		l.assumedSlots = max(1, min(l.capacity(now), len(l.running)))
@@ -376,7 +387,7 @@
 		l.handover = 0
 		l.reserveUntil(began + l.limits.maxDuration)
 	case OutcomeCanceled:
-		l.updateService(max(l.service, canceledFactor*(now-began)), canceledWeight, now)
+		l.observeCanceled(now-began, now)
 		l.reserveUntil(now + CancelTime)
 	case OutcomeUnused:
 	}
@@ -388,16 +399,35 @@
 	l.inherited = slices.Insert(l.inherited, at, until)
 }
 
-func (l *Ledger) updateService(took, weight, now time.Duration) {
-	l.service += (took - l.service) / weight
+// observeAnswer updates the mean service time from an answer. An answer that is
+// faster counts more the longer ago the last update was, so that the mean doesn't
+// return to a value that AnswerTime has let decay.
+func (l *Ledger) observeAnswer(took, now time.Duration) {
+	weight := 1.0 / serviceTimeWeight
+	if took < l.service {
+		age := now - l.serviceUpdatedAt
+		decayed := 1 - math.Exp2(-float64(age)/float64(l.serviceHalfLife))
+		weight = min(max(weight, decayed), serviceWeightMax)
+	}
+	l.service += time.Duration(weight * float64(took-l.service))
+	l.serviceUpdatedAt = now
+	l.serviceHalfLife = min(max(serviceHalfLifeAnswers*l.service, serviceHalfLifeMin), ServiceTimeHalfLife)
+}
+
+// observeCanceled raises the mean service time for a request that was canceled
+// at the given age. A target that doesn't answer is tried again only after the
+// longest half-life.
+func (l *Ledger) observeCanceled(age, now time.Duration) {
+	l.service += (max(l.service, canceledFactor*age) - l.service) / canceledWeight
 	l.serviceUpdatedAt = now
+	l.serviceHalfLife = ServiceTimeHalfLife
 }
 
 // AnswerTime returns the mean time from dispatch to answer, halved for every
-// ServiceTimeHalfLife that has passed since it was last updated.
+// half-life that has passed since it was last updated.
 func (l *Ledger) AnswerTime(now time.Duration) time.Duration {
 	service := l.service
-	for age := now - l.serviceUpdatedAt; age >= ServiceTimeHalfLife && service > 0; age -= ServiceTimeHalfLife {
+	for age := now - l.serviceUpdatedAt; age >= l.serviceHalfLife && service > 0; age -= l.serviceHalfLife {
 		service /= 2
 	}
 	return service
