--- a/feed/feed.go
+++ b/feed/feed.go
@@ -259,7 +259,7 @@
 	if !platform.IsConfig(o) {
 		return
 	}
-	table, err := platform.DecodeTable(o)
+	table, problems, err := platform.DecodeTable(o)
 	if err != nil {
 		f.log.WithError(err).WithField(fieldRevision, o.Revision()).Error("A configuration is invalid; the last valid one stays in force.")
 		return
@@ -267,6 +267,9 @@
 	if current := f.Table(); current != nil && table.Version() <= current.Version() {
 		return
 	}
+	for _, problem := range problems {
+		f.log.WithError(problem).WithField(fieldRevision, o.Revision()).Warn("A part of a configuration is invalid; the other parts are in force.")
+	}
 	f.table.Store(table)
 	f.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Routes(), fieldRevision: o.Revision()}).Info("A configuration is in force.")
 	for _, listener := range f.tableListeners {
--- a/front/request.go
+++ b/front/request.go
@@ -95,6 +95,10 @@
 		s.deny(w, q, path)
 		return false
 	}
+	if q.route.Unusable() {
+		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNoService, notReadyRetryAfter, "route %s of configuration version %d is invalid", q.route.Name(), q.table.Version()))
+		return false
+	}
 	q.deadline = q.arrived.Add(q.route.Timeout())
 	if wait := q.head.Deadline(); wait > 0 && wait < q.route.Timeout() {
 		q.deadline = q.arrived.Add(wait)
@@ -108,6 +112,10 @@
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNotReady, notReadyRetryAfter, "no route of configuration version %d matches host %s and path %s, but the configuration is %v old", q.table.Version(), q.http.Host, path, age))
 		return
 	}
+	if q.table.Incomplete() {
+		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNoService, notReadyRetryAfter, "no route of configuration version %d matches host %s and path %s, but some of its routes are invalid", q.table.Version(), q.http.Host, path))
+		return
+	}
 	s.recordRefusal(q, answerDenied, errs.NotRun(errs.ReasonNoService, 0, "no route of configuration version %d matches host %s and path %s", q.table.Version(), q.http.Host, path))
 	platform.WriteRefusal(w, q.head.ID(), http.StatusNotFound, 0)
 }
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,14 +47,26 @@
 	return w
 }
 
+const (
+	portsFirst, portsLast = 21000, 31000
+	portsEach             = 4
+)
+
+// nextPorts counts the groups of ports that were handed out, from a random first
+// one, so that tests that run in parallel never get the same group.
+var nextPorts = func() *atomic.Int64 {
+	next := &atomic.Int64{}
+	next.Store(rand.Int64N(portsLast - portsFirst))
+	return next
+}()
+
 // freePorts returns the first of four consecutive ports that are free.
 func freePorts(t *testing.T) int {
 	t.Helper()
-	const first, last = 21000, 31000
 	for range 100 {
-		port := first + rand.IntN(last-first)
+		port := portsFirst + int(nextPorts.Add(1)*portsEach%(portsLast-portsFirst))
 		free := true
-		for i := range 4 {
+		for i := range portsEach {
 			listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
 			if err != nil {
 				free = false
--- a/route/table.go
+++ b/route/table.go
@@ -50,6 +50,9 @@
 	// all may.
 	AllowedRegions []place.Region
 	Services       []WeightedService
+	// Unusable is true if the configuration of the route is invalid, so that its
+	// requests can't be served.
+	Unusable bool
 }
 
 // Route holds the settings for the requests with one host and path prefix, and
@@ -91,6 +94,10 @@
 // objects that they handled recently.
 func (r *Route) Affinity() bool { return r.spec.Affinity }
 
+// Unusable reports whether the configuration of the route is invalid, so that
+// its requests can't be served.
+func (r *Route) Unusable() bool { return r.spec.Unusable }
+
 // AllowedIn reports whether targets of the region may serve the route.
 func (r *Route) AllowedIn(region place.Region) bool {
 	return len(r.spec.AllowedRegions) == 0 || slices.Contains(r.spec.AllowedRegions, region)
@@ -167,6 +174,9 @@
 	hosts    map[string]map[string]*Route
 	services map[place.Service]Service
 	limits   Limits
+	// incomplete is true if the configuration has routes that are not in the
+	// table.
+	incomplete bool
 }
 
 // New returns the table for a version of the configuration. Host names are
@@ -190,6 +200,17 @@
 	return t
 }
 
+// WithoutSomeRoutes marks the table as incomplete: the configuration has routes
+// whose host or prefix is invalid, so that they can't be in the table.
+func (t *Table) WithoutSomeRoutes() *Table {
+	t.incomplete = true
+	return t
+}
+
+// Incomplete reports whether the configuration has routes that are not in the
+// table. A request without a route may then be meant for one of them.
+func (t *Table) Incomplete() bool { return t.incomplete }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
