Order the platform's objects by era, and obey leaving targets and pauses

Cause: a mirror refused a list with a lower revision, so that after the store came back from an older copy nothing of it was applied until its revisions had passed the old ones (TestStoreRestored: the next era is never taken in). The headers Server-Leaving and Retry-After of targets were not read.

Change: positions are pairs of era and revision, in mirrors, watches and the messages between instances. A list of a later era replaces a copy, a reply of an earlier one is an error, a peer of an earlier era isn't followed. An overlay corrects what the copy lacks or has too much, until it is written again or the platform's time for that is over; a configuration in force is never left for an older one, and a process that was leaving stays out. An instance registers again if the restored store lacks it. A process that announces that it leaves gets nothing more, whatever the list says, until the next process. A target that asks for a pause gets neither requests nor probes until its end; if all do, requests are refused at once with the time to return, spread.

Ruled out: hiding an entry of the copy that was deleted before for good. Its revision may have been given out again, as TestMirrorFollows found.

Tests: TestMirrorFollows with restores, TestRestoredStore, TestStoreRestored, TestStoreRestoredToNewer, TestInvalidEras, TestTargetAnnouncesLeaving, TestLeavingOfAnother, TestTargetAsksForPause, TestAllAskForPause, TestInvalidNotices.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -22,8 +22,11 @@
 // kinds are the kinds of objects of which every process keeps a copy.
 var kinds = []string{platform.KindConfig, platform.KindTargets, platform.KindEvacuations, platform.KindInstances}
 
-// fieldRevision is the log field for a revision of the store.
-const fieldRevision = "revision"
+// Fields of log lines.
+const (
+	fieldRevision = "revision" // of the store
+	fieldKind     = "kind"     // of the store's objects
+)
 
 // Peers makes calls to other instances and knows which of them are live.
 type Peers interface {
@@ -82,7 +85,7 @@
 		mirrors:   map[string]*mirror{}, decodeErrors: map[place.Target]string{}, changed: make(chan struct{}),
 	}
 	for _, kind := range kinds {
-		f.mirrors[kind] = newMirror(kind)
+		f.mirrors[kind] = newMirror(kind, fleet.RelistTime+fleet.RemovalHeartbeats*settings.Bounds().Heartbeat())
 	}
 	f.registry = fleet.NewRegistry(fleet.Timing{Heartbeat: settings.Bounds().Heartbeat(), ColdTime: f.coldTime})
 	f.view.Store(f.registry.View())
@@ -127,7 +130,7 @@
 // compute its share of fleet-wide limits.
 func (f *Feed) Ready() bool {
 	for _, kind := range kinds {
-		if f.mirrors[kind].currentRevision() == 0 {
+		if !f.mirrors[kind].isLoaded() {
 			return false
 		}
 	}
@@ -149,8 +152,8 @@
 // fleet.RelistTime.
 const expiryInterval = 250 * time.Millisecond
 
-// runExpiry removes the targets that have not returned after an outage of the
-// store, until ctx ends.
+// runExpiry removes what has not returned after an outage of the store, until ctx
+// ends.
 func (f *Feed) runExpiry(ctx context.Context) {
 	for wait.Sleep(ctx, expiryInterval) {
 		f.mu.Lock()
@@ -158,21 +161,41 @@
 			f.log.Info("Targets that the platform removed during its outage have not returned and are dropped.")
 			f.publishView()
 		}
+		for _, kind := range kinds {
+			if changed := f.mirrors[kind].expire(f.now()); len(changed) > 0 {
+				f.log.WithFields(logrus.Fields{fieldKind: kind, "objects": len(changed)}).Info("The restored store's state of objects that were not written again is in force.")
+				f.update(kind, changed)
+			}
+		}
 		f.mu.Unlock()
 	}
 }
 
-// applyList replaces the copy of a kind by all its objects at a revision.
-func (f *Feed) applyList(kind string, objects []platform.Object, revision uint64) {
+// applyList replaces the copy of a kind by all its objects at a position.
+func (f *Feed) applyList(kind string, objects []platform.Object, position platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.mirrors[kind].reset(objects, revision) {
+	m := f.mirrors[kind]
+	now := f.now()
+	before := m.position()
+	if kind == platform.KindConfig {
+		objects = f.keepNewerConfig(objects, position)
+	}
+	accepted, restored := m.reset(objects, position, now)
+	if !accepted {
 		return
 	}
-	now := f.now()
+	if restored {
+		f.log.WithFields(logrus.Fields{fieldKind: kind, "era": position.Era(), fieldRevision: position.Revision(), "era_before": before.Era(), "revision_before": before.Revision()}).
+			Warn("The store was restored from a copy.")
+	}
 	if kind == platform.KindTargets {
-		reports := make([]fleet.Report, 0, len(objects))
-		for _, o := range objects {
+		if restored {
+			f.registry.StoreRestored(now)
+		}
+		effective := m.list()
+		reports := make([]fleet.Report, 0, len(effective))
+		for _, o := range effective {
 			if report, ok := f.decodeTarget(o); ok {
 				reports = append(reports, report)
 			}
@@ -180,16 +203,38 @@
 		f.registry.Reset(reports, now)
 		f.publishView()
 	} else {
-		f.update(kind, objects)
+		f.update(kind, m.list())
 	}
 	f.notifyChanged()
 }
 
-// applyChanges applies the changes of a kind between two revisions.
-func (f *Feed) applyChanges(kind string, objects []platform.Object, after, to uint64) {
+// keepNewerConfig replaces a restored configuration that is older than the one in
+// force by the latter, so that other instances don't get the older one from here.
+func (f *Feed) keepNewerConfig(objects []platform.Object, position platform.Position) []platform.Object {
+	m := f.mirrors[platform.KindConfig]
+	current := f.Table()
+	if current == nil || position.Era() == m.position().Era() {
+		return objects
+	}
+	kept := slices.Clone(objects)
+	for i, o := range kept {
+		if !platform.IsConfig(o) {
+			continue
+		}
+		table, _, err := platform.DecodeTable(o)
+		inForce, found := m.object(o.Name())
+		if found && (err != nil || table.Version() < current.Version()) {
+			kept[i] = platform.NewObject(o.Name(), o.Revision(), inForce.Spec(), false)
+		}
+	}
+	return kept
+}
+
+// applyChanges applies the changes of a kind between two positions.
+func (f *Feed) applyChanges(kind string, objects []platform.Object, after, to platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changed := f.mirrors[kind].apply(objects, after, to)
+	changed := f.mirrors[kind].apply(objects, after, to, f.now())
 	if len(changed) == 0 {
 		return
 	}
@@ -302,6 +347,26 @@
 	f.peers.SetInstances(instances)
 }
 
+// MarkLeaving records that a process of a target announced in an answer that it
+// leaves. It reports whether that was unknown.
+func (f *Feed) MarkLeaving(process fleet.Process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.registry.MarkLeaving(process, f.now()) {
+		return false
+	}
+	f.publishView()
+	return true
+}
+
+// Leaving returns the number of processes of targets that are known to leave,
+// whatever the platform's list says.
+func (f *Feed) Leaving() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.Leaving()
+}
+
 // SetCold records that a target reported itself cold for the given time.
 func (f *Feed) SetCold(target place.Target, cold time.Duration) {
 	f.mu.Lock()
@@ -361,14 +426,15 @@
 // followResponse returns what changed after the revisions of the request.
 // hasChanges reports whether it contains objects or a whole list.
 func (f *Feed) followResponse(request *wire.Follow) (response *wire.Followed, hasChanges bool) {
-	response = &wire.Followed{AgeMillis: f.Age().Milliseconds()}
+	response = &wire.Followed{AgeMillis: f.Age().Milliseconds(), Era: f.Era()}
 	bytesLeft := responseBytesMax
 	for _, kind := range kinds {
-		objects, revision, whole, loaded := f.mirrors[kind].changesSince(request.After[kind])
-		if !loaded || (len(objects) == 0 && !whole && revision <= request.After[kind]) {
+		after := platform.NewPosition(request.Eras[kind], request.After[kind])
+		objects, position, whole, loaded := f.mirrors[kind].changesSince(after)
+		if !loaded || (len(objects) == 0 && !whole && position.Compare(after) <= 0) {
 			continue
 		}
-		part := f.followedKind(kind, objects, revision, whole)
+		part := f.followedKind(kind, objects, position, whole)
 		if bytesLeft -= payloadSize(part); bytesLeft < 0 && len(response.Kinds) > 0 {
 			break
 		}
@@ -385,24 +451,24 @@
 // followedKind makes the part of a response for one kind. A long list is
 // compressed once for all followers that request it within compressedTTL, even
 // if it has changed since: they request the changes next.
-func (f *Feed) followedKind(kind string, objects []platform.Object, revision uint64, whole bool) wire.FollowedKind {
-	result := wire.FollowedKind{Kind: kind, Revision: revision, Whole: whole}
+func (f *Feed) followedKind(kind string, objects []platform.Object, position platform.Position, whole bool) wire.FollowedKind {
+	result := wire.FollowedKind{Kind: kind, Era: position.Era(), Revision: position.Revision(), Whole: whole}
 	if !whole || len(objects) < compressMin {
 		result.Objects = encodeObjects(objects)
 		return result
 	}
 	m := f.mirrors[kind]
-	if compressed, compressedRevision, fresh := m.compressedList(f.now()); fresh {
-		result.Compressed, result.Revision = compressed, compressedRevision
+	if compressed, at, fresh := m.compressedList(f.now()); fresh {
+		result.Compressed, result.Era, result.Revision = compressed, at.Era(), at.Revision()
 		return result
 	}
 	compressed, err := wire.CompressObjects(encodeObjects(objects))
 	if err != nil {
-		f.log.WithError(err).WithField("kind", kind).Error("Compressing a list failed; it is sent uncompressed.")
+		f.log.WithError(err).WithField(fieldKind, kind).Error("Compressing a list failed; it is sent uncompressed.")
 		result.Objects = encodeObjects(objects)
 		return result
 	}
-	m.setCompressed(compressed, revision, f.now())
+	m.setCompressed(compressed, position, f.now())
 	result.Compressed = compressed
 	return result
 }
@@ -433,17 +499,18 @@
 		}
 		received, err := decodeObjects(k)
 		if err != nil {
-			f.log.WithError(err).WithField("kind", k.Kind).Warn("Decoding a list from another instance failed; it is requested again.")
+			f.log.WithError(err).WithField(fieldKind, k.Kind).Warn("Decoding a list from another instance failed; it is requested again.")
 			continue
 		}
 		objects := make([]platform.Object, 0, len(received))
 		for _, o := range received {
 			objects = append(objects, platform.NewObject(o.Name, o.Revision, o.Spec, o.Deleted))
 		}
+		position := platform.NewPosition(k.Era, k.Revision)
 		if k.Whole {
-			f.applyList(k.Kind, objects, k.Revision)
+			f.applyList(k.Kind, objects, position)
 		} else {
-			f.applyChanges(k.Kind, objects, request.After[k.Kind], k.Revision)
+			f.applyChanges(k.Kind, objects, platform.NewPosition(request.Eras[k.Kind], request.After[k.Kind]), position)
 		}
 	}
 }
@@ -458,20 +525,30 @@
 
 // followRequest makes a request for the changes that this copy lacks.
 func (f *Feed) followRequest(maxWait time.Duration) *wire.Follow {
-	after := make(map[string]uint64, len(kinds))
+	request := &wire.Follow{After: make(map[string]uint64, len(kinds)), Eras: make(map[string]uint64, len(kinds)), WaitMillis: maxWait.Milliseconds()}
 	for _, kind := range kinds {
-		after[kind] = f.mirrors[kind].currentRevision()
+		position := f.mirrors[kind].position()
+		request.After[kind], request.Eras[kind] = position.Revision(), position.Era()
 	}
-	return &wire.Follow{After: after, WaitMillis: maxWait.Milliseconds()}
+	return request
+}
+
+// Era returns the earliest era of the store that a kind of objects here is from.
+func (f *Feed) Era() uint64 {
+	era := f.mirrors[kinds[0]].position().Era()
+	for _, kind := range kinds[1:] {
+		era = min(era, f.mirrors[kind].position().Era())
+	}
+	return era
 }
 
 // KnowsInstances reports whether the registered instances are known.
-func (f *Feed) KnowsInstances() bool { return f.mirrors[platform.KindInstances].currentRevision() > 0 }
+func (f *Feed) KnowsInstances() bool { return f.mirrors[platform.KindInstances].isLoaded() }
 
 // IsRegistered reports whether the store has the instance with exactly these
-// values.
+// values. A registration that a restored store lacks doesn't count.
 func (f *Feed) IsRegistered(own platform.Instance) bool {
-	for _, o := range f.mirrors[platform.KindInstances].list() {
+	for _, o := range f.mirrors[platform.KindInstances].stored() {
 		if registered, err := platform.DecodeInstance(o); err == nil && registered == own {
 			return true
 		}
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -58,6 +58,9 @@
 		return err
 	}
 	age := time.Duration(response.AgeMillis) * time.Millisecond
+	if own := f.Era(); response.Era < own {
+		return errors.Newf("the data of instance %s is from era %d of the store, this instance's from era %d", peer, response.Era, own)
+	}
 	if age > ageMax {
 		f.applyStale(request, response, age)
 		return errors.Newf("the data of instance %s is %v old", peer, age)
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -28,18 +28,20 @@
 type mirror struct {
 	kind string
 
-	mu       sync.Mutex
-	loaded   bool
-	revision uint64
-	objects  map[string]platform.Object
+	mu      sync.Mutex
+	loaded  bool
+	at      platform.Position
+	objects map[string]platform.Object
 	// changes are the latest changes, each with the revision at which this copy
-	// applied it. All changes after completeSince are among them.
+	// applied it. All changes of this era after completeSince are among them.
 	changes       []change
 	completeSince uint64
-	// compressed is the compressed list of all objects at compressedRevision,
+	// overlay holds what differs from the objects after the store was restored.
+	overlay overlay
+	// compressed is the compressed list of all objects at compressedPosition,
 	// made at compressedAt.
 	compressed         []byte
-	compressedRevision uint64
+	compressedPosition platform.Position
 	compressedAt       time.Time
 }
 
@@ -47,21 +49,22 @@
 // age of the data of an instance that may be followed.
 const compressedTTL = peerAgeMax
 
-// compressedList returns the compressed list and its revision. fresh reports
+// compressedList returns the compressed list and its position. fresh reports
 // whether it may be used: it is recent, and all changes since its revision are
 // still kept.
-func (m *mirror) compressedList(now time.Time) (list []byte, revision uint64, fresh bool) {
+func (m *mirror) compressedList(now time.Time) (list []byte, position platform.Position, fresh bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	isRecent := m.compressed != nil && now.Sub(m.compressedAt) < compressedTTL && m.compressedRevision >= m.completeSince
-	return m.compressed, m.compressedRevision, isRecent
+	isRecent := m.compressed != nil && now.Sub(m.compressedAt) < compressedTTL &&
+		m.compressedPosition.Era() == m.at.Era() && m.compressedPosition.Revision() >= m.completeSince
+	return m.compressed, m.compressedPosition, isRecent
 }
 
-// setCompressed stores the compressed list of all objects at a revision.
-func (m *mirror) setCompressed(list []byte, revision uint64, now time.Time) {
+// setCompressed stores the compressed list of all objects at a position.
+func (m *mirror) setCompressed(list []byte, position platform.Position, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.compressed, m.compressedRevision, m.compressedAt = list, revision, now
+	m.compressed, m.compressedPosition, m.compressedAt = list, position, now
 }
 
 // change is an object that was changed, and the revision at which the copy
@@ -71,47 +74,62 @@
 	object platform.Object
 }
 
-func newMirror(kind string) *mirror {
-	return &mirror{kind: kind, objects: map[string]platform.Object{}}
+// newMirror returns a copy without data. hideTime is how long an object may stay
+// hidden after the store was restored.
+func newMirror(kind string, hideTime time.Duration) *mirror {
+	return &mirror{kind: kind, objects: map[string]platform.Object{}, overlay: newOverlay(hideTime)}
 }
 
-// reset replaces the copy by all objects at the revision. It reports whether it
-// did; a copy that is newer stays as it is.
-func (m *mirror) reset(objects []platform.Object, revision uint64) bool {
+// reset replaces the copy by all objects at the position. It reports whether it
+// did; a copy that is newer stays as it is. restored reports whether the store
+// was restored from a copy since the position of the mirror.
+func (m *mirror) reset(objects []platform.Object, position platform.Position, now time.Time) (accepted, restored bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.loaded && revision < m.revision {
-		return false
+	if m.loaded && position.Compare(m.at) < 0 {
+		return false, false
 	}
+	before := m.effective()
+	replaced := m.objects
 	m.objects = make(map[string]platform.Object, len(objects))
 	for _, o := range objects {
 		m.objects[o.Name()] = o
 	}
+	// A position without an era is from a source that doesn't know of eras. If
+	// its revision is not after the new one, nothing shows that the store was
+	// restored.
+	restored = m.loaded && position.Era() > m.at.Era() && (m.at.Era() > 0 || position.Revision() < m.at.Revision())
+	if restored {
+		m.overlay.restore(before, m.objects, now)
+	} else {
+		m.overlay.list(replaced, m.objects, now)
+	}
 	m.loaded = true
-	m.revision = revision
+	m.at = position
 	m.changes = nil
-	m.completeSince = revision
-	return true
+	m.completeSince = position.Revision()
+	return true, restored
 }
 
-// apply applies the changes that lead from the revision after to the revision
+// apply applies the changes that lead from the position after to the position
 // to, and returns those that changed the copy. It applies none if the copy is
 // older than after, because changes in between would be missing, or newer than
-// to.
-func (m *mirror) apply(objects []platform.Object, after, to uint64) []platform.Object {
+// to, or of another era.
+func (m *mirror) apply(objects []platform.Object, after, to platform.Position, now time.Time) []platform.Object {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loaded || m.revision < after || to < m.revision {
+	sameEra := after.Era() == m.at.Era() && to.Era() == m.at.Era()
+	if !m.loaded || !sameEra || m.at.Compare(after) < 0 || to.Compare(m.at) < 0 {
 		return nil
 	}
 	var news []platform.Object
 	for _, o := range objects {
-		if m.put(o) {
+		if m.put(o, now) {
 			news = append(news, o)
-			m.changes = append(m.changes, change{at: to, object: o})
+			m.changes = append(m.changes, change{at: to.Revision(), object: o})
 		}
 	}
-	m.revision = to
+	m.at = to
 	if extra := len(m.changes) - max(changesMin, len(m.objects)); extra > 0 {
 		m.completeSince = m.changes[extra-1].at
 		m.changes = slices.Clone(m.changes[extra:])
@@ -122,65 +140,102 @@
 // put stores an object unless the copy has it at the same or a newer revision,
 // or deletes it unless the copy has it at a newer one. It reports whether the
 // copy changed.
-func (m *mirror) put(o platform.Object) bool {
+func (m *mirror) put(o platform.Object, now time.Time) bool {
 	current, found := m.objects[o.Name()]
 	if found && o.Revision() < current.Revision() {
 		return false
 	}
 	if o.Deleted() {
 		delete(m.objects, o.Name())
-		return found
+		retained := m.overlay.written(o.Name())
+		if found {
+			m.overlay.deleted(current, now)
+		}
+		return found || retained
 	}
 	if found && o.Revision() == current.Revision() {
 		return false
 	}
+	m.overlay.written(o.Name())
 	m.objects[o.Name()] = o
 	return true
 }
 
-// changesSince returns the changes after the revision, or all objects if not
-// all of these changes are kept, and the current revision. whole tells which of
-// the two it is. loaded is false if the copy has no data yet.
-func (m *mirror) changesSince(after uint64) (objects []platform.Object, revision uint64, whole, loaded bool) {
+// changesSince returns the changes after the position, or all objects if not all
+// of these changes are kept, and the current position. whole tells which of the
+// two it is. loaded is false if the copy has no data yet. A copy of an earlier
+// era than the position has no changes after it.
+func (m *mirror) changesSince(after platform.Position) (objects []platform.Object, position platform.Position, whole, loaded bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loaded {
-		return nil, 0, false, false
-	}
-	if after == 0 || after < m.completeSince {
-		return m.all(), m.revision, true, true
+	switch {
+	case !m.loaded:
+		return nil, platform.Position{}, false, false
+	case after.Era() > m.at.Era():
+		return nil, m.at, false, true
+	case after.Era() < m.at.Era() || after.Revision() == 0 || after.Revision() < m.completeSince:
+		return sorted(m.objects), m.at, true, true
 	}
 	for _, c := range m.changes {
-		if c.at > after {
+		if c.at > after.Revision() {
 			objects = append(objects, c.object)
 		}
 	}
-	return objects, m.revision, false, true
+	return objects, m.at, false, true
 }
 
-// all returns all objects ordered by name. The caller holds mu.
-func (m *mirror) all() []platform.Object {
-	objects := make([]platform.Object, 0, len(m.objects))
-	for _, o := range m.objects {
-		objects = append(objects, o)
+func sorted(objects map[string]platform.Object) []platform.Object {
+	all := make([]platform.Object, 0, len(objects))
+	for _, o := range objects {
+		all = append(all, o)
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Name(), b.Name()) })
-	return objects
+	slices.SortFunc(all, func(a, b platform.Object) int { return strings.Compare(a.Name(), b.Name()) })
+	return all
 }
 
-// list returns all objects ordered by name.
+// effective returns the objects that are in force, by name. The caller holds mu.
+func (m *mirror) effective() map[string]platform.Object { return m.overlay.apply(m.objects) }
+
+// list returns the objects that are in force, ordered by name.
 func (m *mirror) list() []platform.Object {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.all()
+	return sorted(m.effective())
 }
 
-// currentRevision returns the revision of the copy, 0 if it has no data yet.
-func (m *mirror) currentRevision() uint64 {
+// stored returns the objects that the store has, ordered by name.
+func (m *mirror) stored() []platform.Object {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.loaded {
-		return 0
-	}
-	return m.revision
+	return sorted(m.objects)
+}
+
+// object returns the stored object with the name.
+func (m *mirror) object(name string) (platform.Object, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, found := m.objects[name]
+	return o, found
+}
+
+// expire ends what the overlay holds for a limited time, and returns the objects
+// that change by that.
+func (m *mirror) expire(now time.Time) []platform.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.overlay.expire(m.objects, now)
+}
+
+// isLoaded reports whether the copy has data.
+func (m *mirror) isLoaded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loaded
+}
+
+// position returns the position of the copy, the zero one if it has no data yet.
+func (m *mirror) position() platform.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at
 }
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -96,17 +96,20 @@
 // store that discards its history may leave watches of other kinds waiting for
 // changes that it no longer has, so those watches are restarted.
 func (f *Feed) watchOnce(ctx context.Context, kind string, maxWait time.Duration, pending *pendingWatches) error {
-	after := f.mirrors[kind].currentRevision()
-	if after == 0 {
+	m := f.mirrors[kind]
+	after := m.position()
+	// A watch from a revision of an earlier era would wait for the changes after
+	// the same revision of the present one.
+	if !m.isLoaded() || after.Era() < f.store.Era() {
 		return f.list(ctx, kind)
 	}
 	watchContext, end := pending.start(ctx, kind)
 	defer end()
-	objects, revision, err := f.store.Watch(watchContext, kind, after, maxWait)
+	objects, position, err := f.store.Watch(watchContext, kind, after, maxWait)
 	switch {
 	case err == nil:
 	case errors.Is(err, platform.ErrHistoryGone):
-		f.log.WithFields(logrus.Fields{"kind": kind, fieldRevision: after}).Info("The store has discarded its history; the objects are listed again.")
+		f.log.WithFields(logrus.Fields{fieldKind: kind, "era": after.Era(), fieldRevision: after.Revision()}).Info("The store has discarded its history; the objects are listed again.")
 		pending.restartOthers(kind)
 		return f.list(ctx, kind)
 	case errors.Is(context.Cause(watchContext), errRestarted) && ctx.Err() == nil:
@@ -115,7 +118,7 @@
 		return errors.Wrap(err, "watch the store")
 	}
 	f.markConfirmed("", 0)
-	f.applyChanges(kind, objects, after, revision)
+	f.applyChanges(kind, objects, after, position)
 	if len(objects) > 0 {
 		wait.Sleep(ctx, watchPause)
 	}
@@ -124,11 +127,11 @@
 
 // list reads all objects of a kind from the store and applies them.
 func (f *Feed) list(ctx context.Context, kind string) error {
-	objects, revision, err := f.store.List(ctx, kind)
+	objects, position, err := f.store.List(ctx, kind)
 	if err != nil {
 		return errors.Wrap(err, "list the objects in the store")
 	}
 	f.markConfirmed("", 0)
-	f.applyList(kind, objects, revision)
+	f.applyList(kind, objects, position)
 	return nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,11 +66,17 @@
 	address string
 }
 
-// Process returns the identity of the target's current process.
-func (m *Member) Process() Process {
-	return Process{target: m.report.Target, born: m.report.Born, address: m.report.Address}
+// Process returns the identity of the process that the report is about.
+func (r Report) Process() Process {
+	return Process{target: r.Target, born: r.Born, address: r.Address}
 }
 
+// Process returns the identity of the target's current process.
+func (m *Member) Process() Process { return m.report.Process() }
+
+// Target returns the target that the process belongs to.
+func (p Process) Target() place.Target { return p.target }
+
 // View is an immutable snapshot of the targets that may get requests.
 type View struct {
 	members   map[place.Service][]*Member
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -21,10 +22,10 @@
 	ColdTime func(place.Service) time.Duration
 }
 
-// removalHeartbeats is the number of missed heartbeats after which the platform
-// removes a target. An outage shorter than removalHeartbeats-1 heartbeat
+// RemovalHeartbeats is the number of missed heartbeats after which the platform
+// removes a target. An outage shorter than RemovalHeartbeats-1 heartbeat
 // intervals can't have removed any.
-const removalHeartbeats = 3
+const RemovalHeartbeats = 3
 
 type record struct {
 	report    Report
@@ -40,6 +41,10 @@
 	timing    Timing
 	records   map[place.Target]*record
 	evacuated map[place.Zone]bool
+	// leaving holds the processes that announced themselves that they leave, or
+	// were known to leave when the store was restored, with the time of that.
+	// They get no more requests, whatever the list says later.
+	leaving map[Process]time.Time
 	// storeLostAt is when the store stopped answering, zero while it answers.
 	storeLostAt time.Time
 	// storeBackAt is when the store came back after the last outage that was long
@@ -49,7 +54,7 @@
 
 // NewRegistry returns a Registry without targets.
 func NewRegistry(timing Timing) *Registry {
-	return &Registry{timing: timing, records: map[place.Target]*record{}, evacuated: map[place.Zone]bool{}}
+	return &Registry{timing: timing, records: map[place.Target]*record{}, evacuated: map[place.Zone]bool{}, leaving: map[Process]time.Time{}}
 }
 
 // StoreLost records that the store doesn't answer. The targets stay in use.
@@ -68,12 +73,39 @@
 	}
 	outage := now.Sub(b.storeLostAt)
 	b.storeLostAt = time.Time{}
-	if outage >= (removalHeartbeats-1)*b.timing.Heartbeat {
+	if outage >= (RemovalHeartbeats-1)*b.timing.Heartbeat {
 		b.storeBackAt = now
 	}
 	return outage
 }
 
+// leavingTime is how long a leaving process is remembered. A list that names it
+// for longer belongs to a target without valid start times.
+const leavingTime = time.Hour
+
+// MarkLeaving records that a process announced itself that it leaves, and reports
+// whether that was unknown.
+func (b *Registry) MarkLeaving(process Process, now time.Time) bool {
+	_, known := b.leaving[process]
+	b.leaving[process] = now
+	maps.DeleteFunc(b.leaving, func(_ Process, at time.Time) bool { return now.Sub(at) > leavingTime })
+	return !known
+}
+
+// Leaving returns the number of processes that are known to leave, whatever the
+// list says.
+func (b *Registry) Leaving() int { return len(b.leaving) }
+
+// StoreRestored records that the store was restored from a copy, which may list
+// leaving targets in an earlier state.
+func (b *Registry) StoreRestored(now time.Time) {
+	for _, r := range b.records {
+		if r.report.Leaving {
+			b.MarkLeaving(r.report.Process(), now)
+		}
+	}
+}
+
 // Put adds or updates a target from the platform's list.
 func (b *Registry) Put(report Report, now time.Time) {
 	coldUntil := time.Time{}
@@ -176,7 +208,7 @@
 		evacuated: b.evacuated,
 	}
 	for target, r := range b.records {
-		if r.report.Leaving || b.evacuated[r.report.Zone] {
+		if _, left := b.leaving[r.report.Process()]; left || r.report.Leaving || b.evacuated[r.report.Zone] {
 			continue
 		}
 		m := NewMember(r.report, r.coldUntil)
--- a/front/dump.go
+++ b/front/dump.go
@@ -18,6 +18,8 @@
 	Running        int64              `json:"running"`
 	Source         string             `json:"source"`
 	KnowledgeAge   string             `json:"knowledge_age"`
+	StoreEra       uint64             `json:"store_era"`
+	LeavingTargets int                `json:"leaving_targets"`
 	Version        uint64             `json:"version"`
 	Routes         int                `json:"routes"`
 	EvacuatedZones []place.Zone       `json:"evacuated_zones"`
@@ -33,7 +35,7 @@
 	view, now := s.feed.View(), s.now()
 	d := Dump{
 		Instance: s.self.Instance, Zone: s.self.Zone, Ready: s.Ready(), Leaving: s.shuttingDown.Load(), Running: s.activeRequests.Load(),
-		Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
+		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
 		Targets: s.chooser.States(view, now),
--- a/front/note.go
+++ b/front/note.go
@@ -21,6 +21,9 @@
 	fieldOutcome = "outcome"
 )
 
+// fieldTarget is the log field for the name of a target.
+const fieldTarget = "target"
+
 // Values of the answer in the log and the metrics, beside a target's status.
 const (
 	answerRefused = "refused"
@@ -95,7 +98,7 @@
 		return
 	}
 	fields := s.logFields(q, now)
-	fields["target"] = attempt.Member().Target()
+	fields[fieldTarget] = attempt.Member().Target()
 	fields["service"] = attempt.Member().Service()
 	fields[fieldOutcome] = name
 	fields["distance"] = distanceName(attempt.Distance())
--- a/front/probe.go
+++ b/front/probe.go
@@ -53,5 +53,8 @@
 	}
 	s.stats.probes.WithLabelValues(outcome).Inc()
 	s.chooser.Probed(m, healthy)
-	s.log.WithFields(logrus.Fields{"target": m.Target(), "healthy": healthy, "cold": health.Cold(), "error": err}).Info("A target was probed.")
+	if health.Target() == m.Target() {
+		s.observeTarget(m, answer, s.now())
+	}
+	s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "healthy": healthy, "cold": health.Cold(), "error": err}).Info("A target was probed.")
 }
--- a/front/send.go
+++ b/front/send.go
@@ -4,9 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/pace"
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
@@ -139,10 +143,41 @@
 	now := s.now()
 	outcome := outcomeOf(answer, err)
 	attempt.Done(outcome, loadReport(answer), client.DialTime(), now)
+	if answer.Status() != http.StatusMisdirectedRequest {
+		s.observeTarget(m, answer, now)
+	}
 	s.recordAttempt(q, attempt, outcome, answer, err, now)
 	return answer, err //nolint:wrapcheck // a refusal needs no more context
 }
 
+// observeTarget records what a target says about itself in an answer, a rejection
+// or a failure included: that its process leaves, or that it wants a pause. The
+// answer must not be from another target at the same address.
+func (s *Server) observeTarget(m *fleet.Member, answer sender.Answer, now time.Time) {
+	leaving, err := platform.ReadLeaving(answer)
+	if leaving && s.feed.MarkLeaving(m.Process()) {
+		s.stats.leaving.Inc()
+		s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "service": m.Service()}).Info("A target announced that it leaves.")
+	}
+	s.reportHeader(m, err, now)
+	pause, err := platform.ReadPause(answer)
+	s.reportHeader(m, err, now)
+	if pause > 0 {
+		s.chooser.Pause(m.Process(), pause, now)
+		s.stats.pauses.Inc()
+		if s.logQuota.Allow(logs.ClassRefused, now) {
+			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "service": m.Service(), "pause_ms": pause.Milliseconds()}).Info("A target asked for a pause.")
+		}
+	}
+}
+
+// reportHeader logs an invalid header of a target.
+func (s *Server) reportHeader(m *fleet.Member, err error, now time.Time) {
+	if err != nil && s.logQuota.Allow(logs.ClassFailed, now) {
+		s.log.WithError(err).WithFields(logrus.Fields{fieldTarget: m.Target(), "address": m.Address()}).Warn("A header of a target is invalid.")
+	}
+}
+
 // answerBytesMax limits a target's answer that doesn't state its length.
 const answerBytesMax = 16 << 20
 
--- a/front/server.go
+++ b/front/server.go
@@ -79,6 +79,9 @@
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
 	s.store = platform.NewStore(settings.Store(), s.stats.recordStoreCall)
+	s.store.OnEraProblem(func(err error) {
+		s.log.WithError(err).WithField("store", settings.Store()).Warn("The store's era is invalid; the last valid one still counts.")
+	})
 	s.feed = feed.New(settings, s.store, instances, now, logs.ForComponent(log, "feed"))
 	s.chooser = pick.New(settings.Zone(), s.coldLimiter, pace.NewRegionLimiter(settings.Bounds().ShiftMax()))
 	s.feed.OnView(s.onViewChange)
@@ -259,27 +262,27 @@
 	return server, nil
 }
 
-// registerPause is the time between two attempts to register.
+// registerPause is the time between two checks whether this instance is
+// registered.
 const registerPause = time.Second
 
-// register stores this instance as an object in the store, where the others
-// find it. It tries again until that succeeds. The object remains when the
-// process ends, because the next process has the same addresses.
+// register keeps this instance stored as an object in the store, where the others
+// find it, until ctx ends. A store that was restored from a copy may lack it. The
+// object remains when the process ends, because the next process has the same
+// addresses.
 func (s *Server) register(ctx context.Context) {
 	own := platform.NewInstance(s.self.Instance, s.self.Zone, s.settings().Addresses().Clients(), s.settings().Addresses().Peers())
-	for {
-		if s.feed.IsRegistered(own) {
-			return
-		}
-		if s.feed.KnowsInstances() {
+	registeredIn, registered := uint64(0), false
+	for ctx.Err() == nil {
+		era := s.feed.Era()
+		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (!registered || era != registeredIn) {
 			err := s.store.Put(ctx, platform.KindInstances, string(own.Name()), own.Spec())
 			if err == nil {
-				return
+				registeredIn, registered = era, true
+			} else {
+				s.log.WithError(err).Warn("Registering this instance in the store failed; other instances don't know it yet.")
 			}
-			s.log.WithError(err).Warn("Registering this instance in the store failed; other instances don't know it yet.")
-		}
-		if !wait.Sleep(ctx, registerPause) {
-			return
 		}
+		wait.Sleep(ctx, registerPause)
 	}
 }
--- a/front/stats.go
+++ b/front/stats.go
@@ -18,6 +18,8 @@
 	probes          *prometheus.CounterVec
 	suppressedLines *prometheus.CounterVec
 	streamed        prometheus.Counter
+	leaving         prometheus.Counter
+	pauses          prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -56,7 +58,13 @@
 			Name: "endivechute_streamed_answers_total", Help: "Answers that were too long to be buffered and were streamed.",
 		}),
 	}
-	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed)
+	s.leaving = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivechute_leaving_targets_total", Help: "Targets that announced in an answer that they leave.",
+	})
+	s.pauses = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivechute_pauses_total", Help: "Rejections with which a target asked for a pause.",
+	})
+	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses)
 	return s
 }
 
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -65,6 +65,9 @@
 	mu       sync.Mutex
 	targets  map[place.Target]*targetRecord
 	services map[place.Service]*serviceStats
+	// pauses holds the ends of the pauses that processes of targets asked for.
+	// Forget keeps them, because a target may leave the view and return.
+	pauses map[fleet.Process]time.Time
 }
 
 // targetRecord holds the statistics of a target and the process they belong to.
@@ -75,7 +78,7 @@
 
 // New returns a Chooser for an entry in the availability zone.
 func New(zone place.Zone, coldLimiter *pace.ColdLimiter, regionLimiter *pace.RegionLimiter) *Chooser {
-	return &Chooser{zone: zone, coldLimiter: coldLimiter, regionLimiter: regionLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}}
+	return &Chooser{zone: zone, coldLimiter: coldLimiter, regionLimiter: regionLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}, pauses: map[fleet.Process]time.Time{}}
 }
 
 // Attempt is a request in flight to a target.
@@ -153,6 +156,9 @@
 	times := s.serviceTimes()
 	candidates := c.candidates(members, q, s, times, object, now)
 	if len(candidates) == 0 {
+		if pause := c.shortestPause(members, q, now); pause > 0 {
+			return nil, pausedRefusal(q.Service, pause)
+		}
 		return nil, errs.NotRun(errs.ReasonNoTarget, q.Aim, "service %s: no target is eligible for the request", q.Service)
 	}
 	for {
@@ -264,6 +270,7 @@
 		}
 		hash := mix64(object ^ xxhash.Sum64String(string(m.Target())))
 		candidate := c.candidate(m, q, s, times, now)
+		candidate.Paused = c.pauseOf(m.Process(), now) > 0
 		candidates = append(candidates, candidate)
 		scores = append(scores, rendezvousScore(hash, candidate.Distance))
 	}
@@ -271,9 +278,9 @@
 		return withoutObject(candidates, q)
 	}
 	setRanks(candidates, scores)
-	// Tried targets are removed only after ranking: a rejection by the first
+	// Tried and paused targets are removed only after ranking: a rejection by the first
 	// target doesn't mean that the next one has the object cached.
-	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return slices.Contains(q.Tried, x.Member.Target()) })
+	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return x.Paused || slices.Contains(q.Tried, x.Member.Target()) })
 	for i := range candidates {
 		candidates[i].LikelyCached = slices.Contains(processes[:], candidates[i].Member.Process())
 	}
@@ -283,7 +290,7 @@
 // withoutObject returns the candidates for a request that concerns no object:
 // caches make no difference, and ties are broken at random.
 func withoutObject(candidates []Candidate, q Query) []Candidate {
-	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return slices.Contains(q.Tried, x.Member.Target()) })
+	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return x.Paused || slices.Contains(q.Tried, x.Member.Target()) })
 	for i := range candidates {
 		candidates[i].LikelyCached = true
 	}
@@ -428,7 +435,7 @@
 	var due []*fleet.Member
 	for target, k := range c.targets {
 		m, found := view.Member(target)
-		if found && m.Process() == k.process && k.stats.probeDue(now) {
+		if found && m.Process() == k.process && c.pauseOf(k.process, now) == 0 && k.stats.probeDue(now) {
 			due = append(due, m)
 		}
 	}
--- a/pick/score.go
+++ b/pick/score.go
@@ -55,6 +55,8 @@
 	Standing bool
 	// Unreachable is true if the target was found unreachable.
 	Unreachable bool
+	// Paused is true if the target asked this entry to send nothing for a while.
+	Paused bool
 }
 
 // ServiceTimes holds the service times of a service: how long its targets work
--- a/pick/state.go
+++ b/pick/state.go
@@ -23,6 +23,9 @@
 	FailureRate float64 `json:"fails"`
 	Cold        bool    `json:"cold"`
 	Unreachable bool    `json:"unreachable"`
+	// PausedMillis is how much longer the target wants no requests from this
+	// entry, in milliseconds.
+	PausedMillis int64 `json:"paused_ms"`
 }
 
 // States returns the state of the targets in the view that this entry has
@@ -36,7 +39,9 @@
 		if !found || m.Process() != k.process {
 			continue
 		}
-		states = append(states, k.stats.state(m, now))
+		state := k.stats.state(m, now)
+		state.PausedMillis = c.pauseOf(k.process, now).Milliseconds()
+		states = append(states, state)
 	}
 	slices.SortFunc(states, func(a, b TargetState) int { return strings.Compare(string(a.Target), string(b.Target)) })
 	return states
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -54,7 +54,7 @@
 		switch answer.Header(r.echo.name) {
 		case r.echo.value:
 		case "":
-			return answer, false, errors.Wrapf(errIncompleteAnswer, "the answer with status %d lacks the echo header that identifies its request", answer.status)
+			return Answer{}, false, errors.Wrapf(errIncompleteAnswer, "the answer with status %d lacks the echo header that identifies its request", answer.status)
 		default:
 			if err = body.skip(r.answerBytesMax); err != nil {
 				return Answer{}, false, err
--- a/wire/follow.go
+++ b/wire/follow.go
@@ -20,7 +20,9 @@
 // revisions, one for each kind of object. The receiver answers with Followed as
 // soon as it knows of a change, or when WaitMillis have passed.
 type Follow struct {
-	After      map[string]uint64 `msgpack:"after"`
+	After map[string]uint64 `msgpack:"after"`
+	// Eras holds the eras of the store that the revisions belong to.
+	Eras       map[string]uint64 `msgpack:"eras"`
 	WaitMillis int64             `msgpack:"wait_ms"`
 }
 
@@ -39,6 +41,7 @@
 // Objects.
 type FollowedKind struct {
 	Kind       string           `msgpack:"kind"`
+	Era        uint64           `msgpack:"era"`
 	Revision   uint64           `msgpack:"revision"`
 	Whole      bool             `msgpack:"whole"`
 	Objects    []FollowedObject `msgpack:"objects"`
@@ -87,8 +90,10 @@
 // Followed answers a Follow. AgeMillis is how long ago the store last confirmed
 // that the sender's objects were up to date.
 type Followed struct {
-	AgeMillis int64          `msgpack:"age_ms"`
-	Kinds     []FollowedKind `msgpack:"kinds"`
+	AgeMillis int64 `msgpack:"age_ms"`
+	// Era is the earliest era of the sender's kinds of objects.
+	Era   uint64         `msgpack:"era"`
+	Kinds []FollowedKind `msgpack:"kinds"`
 }
 
 func (*Follow) kind() Kind   { return KindFollow }
