Answer the requests that have just been accepted when an instance stops

Cause: net/http's Shutdown closes a connection without an answer if it has just read a request from it, and closing the listener resets the connections that the process hasn't accepted yet. TestStopUnderLoad on the code before: 21 requests cut off, all read by the process.

Ruled out: refusing to close a connection with an unanswered request. net/http has given up on it by then, and its client waits until its deadline.

Shutdown is not called any more.

Also: targets of the project's own interface get a request ID if the caller gave none, and an answer with another ID is skipped (sender TestStrayAnswer), so that a late second answer reaches nobody.

--- a/entry/steer.go
+++ b/entry/steer.go
@@ -5,6 +5,8 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/endivechute/endivechute/budget"
@@ -307,12 +309,24 @@
 	return message, nil
 }
 
+// targetRequest returns the request to a target. Its ID, which targets repeat in
+// their answers, is the caller's or a new one, so that an answer to an earlier
+// request on the connection isn't taken for its own.
 func targetRequest(policy *config.Policy, r *Request) sender.Request {
-	headers := make([]sender.Header, 0, len(r.headers))
+	headers := make([]sender.Header, 0, len(r.headers)+1)
+	id := ""
 	for _, h := range r.headers {
 		headers = append(headers, sender.NewHeader(h.Name, h.Value))
+		if strings.EqualFold(h.Name, sender.HeaderRequestID) {
+			id = h.Value
+		}
+	}
+	if id == "" {
+		id = strconv.FormatUint(rand.Uint64(), 16)
+		headers = append(headers, sender.NewHeader(sender.HeaderRequestID, id))
 	}
-	return sender.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithHeadersAndBody(headers, r.body).WithPolicy(policy)
+	return sender.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithHeadersAndBody(headers, r.body).WithPolicy(policy).
+		WithOptionalEcho(sender.NewHeader(sender.HeaderRequestID, id))
 }
 
 // outcomeOf returns the outcome of a request for its slot. Targets stop an
--- a/front/leave.go
+++ b/front/leave.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/socket"
 )
 
 // shutdownMargin is how long before the end of the grace period the process
@@ -18,7 +20,7 @@
 // closes, and the requests that are running may finish until shutdownMargin
 // before the end of the grace period. It returns an error if the port can't be
 // closed.
-func (s *Server) shutDown(clientServer *http.Server) error {
+func (s *Server) shutDown(clientServer *http.Server, listener *socket.DrainListener) error {
 	began := s.now()
 	s.log.WithField("running", s.activeRequests.Load()).Info("Shutting down.")
 	s.shuttingDown.Store(true)
@@ -26,12 +28,13 @@
 	time.Sleep(ttlOverrunFactor * s.lookupTTL())
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.settings().Bounds().GracePeriod()-shutdownMargin))
 	defer cancel()
-	err := clientServer.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	// net/http's Shutdown would drop requests that it has just read.
+	err := listener.Drain(ctx)
+	if errors.Is(err, context.DeadlineExceeded) || !listener.CloseIdle(ctx) {
 		s.log.WithField("running", s.activeRequests.Load()).Warn("Requests are still running at the end of the grace period.")
 		s.cancelSends()
 		time.Sleep(shutdownMargin / 2)
-		return nil
+		err = nil
 	}
-	return errors.Wrap(err, "close the clients' port")
+	return errors.Wrap(errors.CombineErrors(err, clientServer.Close()), "close the clients' port")
 }
--- a/front/server.go
+++ b/front/server.go
@@ -30,6 +30,7 @@
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/route"
+	"github.com/endivechute/endivechute/socket"
 	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -205,11 +206,11 @@
 	}
 	var servers []*http.Server
 	for _, p := range ports {
-		server, err := s.startServer(p, route.Limits{HeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryTimeout})
+		listener, err := listen(p)
 		if err != nil {
 			return err
 		}
-		servers = append(servers, server)
+		servers = append(servers, s.startServer(listener, p, route.Limits{HeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryTimeout}))
 	}
 	defer func() {
 		for _, server := range servers {
@@ -219,13 +220,15 @@
 	if !s.awaitReady(ctx) {
 		return nil
 	}
-	clientServer, err := s.startServer(port{"clients", addresses.Clients(), s}, s.feed.Table().Limits())
+	listener, err := listen(port{"clients", addresses.Clients(), s})
 	if err != nil {
 		return err
 	}
+	clientListener := socket.NewDrainListener(listener)
+	clientServer := s.startServer(clientListener, port{"clients", addresses.Clients(), s}, s.feed.Table().Limits())
 	s.log.WithField("version", s.feed.Table().Version()).Info("Serving requests.")
 	<-ctx.Done()
-	return s.shutDown(clientServer)
+	return s.shutDown(clientServer, clientListener)
 }
 
 // auxiliaryTimeout limits reading a header and idling on the ports that don't
@@ -244,22 +247,27 @@
 // time-out doesn't meet a connection that is being closed.
 const idleTimeoutSlack = time.Second
 
-// startServer listens on a port and serves it in the background.
-func (s *Server) startServer(p port, limits route.Limits) (*http.Server, error) {
+func listen(p port) (*net.TCPListener, error) {
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on the port for %s", p.name)
 	}
+	return listener.(*net.TCPListener), nil
+}
+
+// startServer serves a port in the background.
+func (s *Server) startServer(listener net.Listener, p port, limits route.Limits) *http.Server {
 	server := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout + idleTimeoutSlack,
 		MaxHeaderBytes: limits.HeaderBytes, ErrorLog: nil,
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !s.shuttingDown.Load() {
 			s.log.WithError(err).WithField("port", p.name).Error("A port stopped serving.")
 		}
 	}()
-	return server, nil
+	return server
 }
 
 // registerPause is the time between two checks whether this instance is
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -50,17 +50,15 @@
 		return Answer{}, false, err
 	}
 	answer = copyHead(response)
-	if r.echo.name != "" {
-		switch answer.Header(r.echo.name) {
-		case r.echo.value:
-		case "":
-			return Answer{}, false, errors.Wrapf(errIncompleteAnswer, "the answer with status %d lacks the echo header that identifies its request", answer.status)
-		default:
-			if err = body.skip(r.answerBytesMax); err != nil {
-				return Answer{}, false, err
-			}
-			return Answer{}, false, errOtherRequest
+	switch echo := answer.Header(r.echo.name); {
+	case r.echo.name == "", echo == r.echo.value, echo == "" && r.echoOptional:
+	case echo == "":
+		return Answer{}, false, errors.Wrapf(errIncompleteAnswer, "the answer with status %d lacks the echo header that identifies its request", answer.status)
+	default:
+		if err = body.skip(r.answerBytesMax); err != nil {
+			return Answer{}, false, err
 		}
+		return Answer{}, false, errOtherRequest
 	}
 	if err = body.readInto(&answer, r); err != nil {
 		return answer, false, err
--- a/sender/request.go
+++ b/sender/request.go
@@ -48,6 +48,7 @@
 	answerBytesMax int
 	host           string
 	echo           Header
+	echoOptional   bool
 	closeDelimited bool
 	share          *hold.Share
 	overflow       OverflowFunc
@@ -104,6 +105,14 @@
 	return r
 }
 
+// WithOptionalEcho is like WithEcho for targets that may leave out the header. An
+// answer without it counts as the answer to this request.
+func (r Request) WithOptionalEcho(header Header) Request {
+	r.echo = header
+	r.echoOptional = true
+	return r
+}
+
 // WithCloseDelimited returns a copy that also accepts an answer with neither
 // Content-Length nor chunked encoding. Its body ends when the target closes the
 // connection without a reset.
