--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -33,7 +33,7 @@
 		margin        = 20 * time.Millisecond
 	)
 	w := newTestEnv(t)
-	w.handleAll(func(target *fakes.Target, rw http.ResponseWriter, r *http.Request) bool {
+	w.handleAll(func(*fakes.Target, http.ResponseWriter, *http.Request) bool {
 		time.Sleep(running)
 		return false
 	})
--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -73,7 +73,11 @@
 	for range takers {
 		tasks.Go(func() {
 			share := budget.Share()
-			for share.Take(7) {
+			for n := 0; share.Take(7); n++ {
+				if n > limit {
+					t.Error("one share took more than the budget has")
+					break
+				}
 			}
 			share.Release()
 		})
--- a/socket/drain.go
+++ b/socket/drain.go
@@ -63,7 +63,7 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err //nolint:wrapcheck // servers compare it with net.ErrClosed
 		case draining:
-			err = l.TCPListener.Close()
+			err = l.Close()
 			close(l.drained)
 			return nil, errors.CombineErrors(net.ErrClosed, err)
 		}
@@ -82,7 +82,7 @@
 	select {
 	case <-l.drained:
 	case <-time.After(drainMax):
-		return errors.Wrap(l.TCPListener.Close(), "close the listener")
+		return errors.Wrap(l.Close(), "close the listener")
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "drain the listener")
 	}
