Deliver answers that arrive right after a route's time-out

Change: an attempt that is running may answer up to 150 ms after the route's time-out, if the client still waits. The platform allows 250 ms. No attempt begins after the time-out.

Test: TestAnswerAtTimeout.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// TestAnswerAtTimeout checks that an answer that arrives right after the route's
+// time-out is delivered if the client still waits.
+func TestAnswerAtTimeout(t *testing.T) {
+	for name, path := range map[string]string{"may be repeated": "/read/x", "once": "/write/x"} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t)
+			w.handleAll(func(_ *fakes.Target, _ http.ResponseWriter, _ *http.Request) bool {
+				time.Sleep((timeoutMillis + 50) * time.Millisecond)
+				return false
+			})
+			if got := w.do(t, "POST", path, "r1"); got.status != http.StatusOK {
+				t.Errorf("status %d after %v, want 200", got.status, got.took)
+			}
+		})
+	}
+}
+
 // TestClientLeaves checks that an idempotent request is canceled at the target
 // when its client disconnects, and that any other isn't.
 func TestClientLeaves(t *testing.T) {
--- a/front/held.go
+++ b/front/held.go
@@ -69,7 +69,7 @@
 	if !q.http.ProtoAtLeast(1, 1) {
 		return nil, errors.Newf("the answer is too long for a client with %s, which can't detect a truncated one", q.http.Proto)
 	}
-	if err := http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(streamWriteSlack)); err != nil {
+	if err := http.NewResponseController(w).SetWriteDeadline(q.answerDeadline.Add(streamWriteSlack)); err != nil {
 		return nil, errors.Wrap(err, "limit the time of the answer")
 	}
 	s.stats.streamed.Inc()
--- a/front/request.go
+++ b/front/request.go
@@ -25,6 +25,11 @@
 	// notReadyRetryAfter is when a client should try again if the process has
 	// no recent configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// answerGrace is how long after a route's time-out the answer of an attempt
+	// that is running is still awaited. A target works until the end of the time
+	// that it is given, and its answer then needs a trip. The platform allows a
+	// quarter of a second.
+	answerGrace = 150 * time.Millisecond
 	// bodyBytesDefault limits a request's body if the configuration sets no
 	// limit.
 	bodyBytesDefault = 1 << 20
@@ -40,6 +45,9 @@
 	// deadline is the earlier of the client's deadline and the end of the
 	// route's time-out.
 	deadline time.Time
+	// answerDeadline is until when an attempt that is running may answer. It is
+	// answerGrace after the route's time-out, but not after the client's deadline.
+	answerDeadline time.Time
 	table    *route.Table
 	// share counts the bytes that are buffered for the request.
 	share *hold.Share
@@ -110,12 +118,22 @@
 		return false
 	}
 	q.deadline = q.arrived.Add(q.route.Timeout())
-	if wait := q.head.Deadline(); wait > 0 && wait < q.route.Timeout() {
-		q.deadline = q.arrived.Add(wait)
+	q.answerDeadline = q.deadline.Add(answerGrace)
+	if wait := q.head.Deadline(); wait > 0 {
+		clientDeadline := q.arrived.Add(wait)
+		q.deadline = earlier(q.deadline, clientDeadline)
+		q.answerDeadline = earlier(q.answerDeadline, clientDeadline)
 	}
 	return s.readBody(w, q)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // deny answers a request that matches no route.
 func (s *Server) deny(w http.ResponseWriter, q *request, path string) {
 	if age := s.feed.Age(); age > configAgeMax {
--- a/front/send.go
+++ b/front/send.go
@@ -132,7 +132,7 @@
 	defer context.AfterFunc(s.sendContext, cancel)()
 	m := attempt.Member()
 	client := s.clientFor(m)
-	request := platform.NewRequest(q.http, q.body, q.head.ID(), m.Target(), q.deadline, answerBytesMax)
+	request := platform.NewRequest(q.http, q.body, q.head.ID(), m.Target(), q.answerDeadline, answerBytesMax)
 	request = request.WithOverflow(q.share, func(head sender.Answer) (io.Writer, error) { return s.startStream(w, q, head) })
 	answer, err := client.Do(ctx, request)
 	if err == nil {
