Choose among a shortlist of the targets

Cause: a choice hashed, locked, scored and sorted every target of the service for every request.

Change: a choice ranks the targets with one multiplication each and considers the first 16 for the object and those that recently handled it; only if none of them can take the request, it considers all. Hashes and regions of targets are kept with them, and the slices of a choice are reused.

Ruled out: keeping the order of each object. Objects are many, and the order changes with every view.

--- a/feed/source.go
+++ b/feed/source.go
@@ -35,6 +35,10 @@
 	// leaving target must get no more requests, which is the shortest time
 	// limit in the platform's contracts.
 	watchPause = 200 * time.Millisecond
+	// directWatchPause is that time for an instance that watches only because it
+	// can't follow another one. There may be many of these, and each watch costs
+	// the store a call.
+	directWatchPause = 800 * time.Millisecond
 	// followWait is how long an instance that is followed waits for a change
 	// before it answers.
 	followWait = 500 * time.Millisecond
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -120,7 +120,11 @@
 	f.markConfirmed("", 0)
 	f.applyChanges(kind, objects, after, position)
 	if len(objects) > 0 {
-		wait.Sleep(ctx, watchPause)
+		pause := watchPause
+		if f.watcher() != f.self {
+			pause = directWatchPause
+		}
+		wait.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivechute/endivechute/place"
 )
 
@@ -30,13 +32,18 @@
 type Member struct {
 	report    Report
 	coldUntil time.Time
+	hash      uint64
+	region    place.Region
 }
 
 // NewMember returns a Member that is cold until the given time.
 func NewMember(report Report, coldUntil time.Time) *Member {
-	return &Member{report: report, coldUntil: coldUntil}
+	return &Member{report: report, coldUntil: coldUntil, hash: xxhash.Sum64String(string(report.Target)), region: report.Zone.Region()}
 }
 
+// Hash returns the hash of the target's name for rendezvous hashing.
+func (m *Member) Hash() uint64 { return m.hash }
+
 // Target returns the name of the target.
 func (m *Member) Target() place.Target { return m.report.Target }
 
@@ -46,6 +53,9 @@
 // Zone returns the availability zone of the target.
 func (m *Member) Zone() place.Zone { return m.report.Zone }
 
+// Region returns the region of the target.
+func (m *Member) Region() place.Region { return m.region }
+
 // Address returns the address of the target, as "IP:port".
 func (m *Member) Address() string { return m.report.Address }
 
--- a/front/request.go
+++ b/front/request.go
@@ -48,7 +48,7 @@
 	// answerDeadline is until when an attempt that is running may answer. It is
 	// answerGrace after the route's time-out, but not after the client's deadline.
 	answerDeadline time.Time
-	table    *route.Table
+	table          *route.Table
 	// share counts the bytes that are buffered for the request.
 	share *hold.Share
 	// sampled is set if an attempt that succeeded was logged, so that the
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -1,15 +1,11 @@
 package pick
 
 import (
-	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/fleet"
 	"github.com/endivechute/endivechute/pace"
@@ -59,6 +55,7 @@
 // requests. It is safe for concurrent use.
 type Chooser struct {
 	zone          place.Zone
+	region        place.Region
 	coldLimiter   *pace.ColdLimiter
 	regionLimiter *pace.RegionLimiter
 
@@ -78,7 +75,7 @@
 
 // New returns a Chooser for an entry in the availability zone.
 func New(zone place.Zone, coldLimiter *pace.ColdLimiter, regionLimiter *pace.RegionLimiter) *Chooser {
-	return &Chooser{zone: zone, coldLimiter: coldLimiter, regionLimiter: regionLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}, pauses: map[fleet.Process]time.Time{}}
+	return &Chooser{zone: zone, region: zone.Region(), coldLimiter: coldLimiter, regionLimiter: regionLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}, pauses: map[fleet.Process]time.Time{}}
 }
 
 // Attempt is a request in flight to a target.
@@ -150,16 +147,42 @@
 // Choose returns the target of a request and counts the request as in flight
 // there; the caller must call Done with the outcome. The error is an
 // *errs.Refusal with the verdict not-run.
+//
+// It considers a shortlist of the targets first, and all of them only if none on
+// the shortlist can take the request, so that the cost of a choice hardly grows
+// with the number of targets.
 func (c *Chooser) Choose(members []*fleet.Member, q Query, now time.Time) (*Attempt, error) {
 	s := c.serviceFor(q.Service, q.Aim)
-	object := xxhash.Sum64String(q.Object)
+	o := objectOf(q, s, now)
 	times := s.serviceTimes()
-	candidates := c.candidates(members, q, s, times, object, now)
-	if len(candidates) == 0 {
+	work := scratchPool.Get().(*scratch)
+	defer scratchPool.Put(work)
+	if len(members) > shortlistMax {
+		c.shortlist(work, members, q, o)
+		if attempt, _ := c.chooseFrom(work, q, s, o, times, now); attempt != nil {
+			return attempt, nil
+		}
+	}
+	c.listAll(work, members, q, o)
+	attempt, refusal := c.chooseFrom(work, q, s, o, times, now)
+	if attempt != nil {
+		return attempt, nil
+	}
+	if refusal == nil {
 		if pause := c.shortestPause(members, q, now); pause > 0 {
 			return nil, pausedRefusal(q.Service, pause)
 		}
-		return nil, errs.NotRun(errs.ReasonNoTarget, q.Aim, "service %s: no target is eligible for the request", q.Service)
+		refusal = errs.NotRun(errs.ReasonNoTarget, q.Aim, "service %s: no target is eligible for the request", q.Service)
+	}
+	return nil, refusal
+}
+
+// chooseFrom returns an attempt at the best of the listed targets. If none can
+// take the request, it returns a refusal, nil if no target is eligible at all.
+func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, times ServiceTimes, now time.Time) (*Attempt, error) {
+	candidates := c.candidates(work, q, s, o, times, now)
+	if len(candidates) == 0 {
+		return nil, nil //nolint:nilnil // documented
 	}
 	for {
 		i, estimate := c.best(candidates, q, times, now)
@@ -172,7 +195,7 @@
 			continue
 		}
 		c.regionLimiter.Count(chosen.Distance == OtherRegion, now)
-		return c.send(chosen, estimate, s, object, q, now), nil
+		return c.send(chosen, estimate, s, o.hash, q, now), nil
 	}
 }
 
@@ -258,80 +281,32 @@
 // which a caller is told to retry. The factor is uniform in [0.5, 1.5).
 const jitterMin = 0.5
 
-func (c *Chooser) candidates(members []*fleet.Member, q Query, s *serviceStats, times ServiceTimes, object uint64, now time.Time) []Candidate {
-	processes := s.objects.recentProcesses(object, now)
-	candidates := make([]Candidate, 0, len(members))
-	scores := make([]float64, 0, len(members))
+// candidates returns the listed targets that are eligible for the request, with
+// their ranks.
+func (c *Chooser) candidates(work *scratch, q Query, s *serviceStats, o object, times ServiceTimes, now time.Time) []Candidate {
+	candidates := work.candidates[:0]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, m := range members {
-		if !q.Allowed(m.Zone().Region()) {
-			continue
-		}
-		hash := mix64(object ^ xxhash.Sum64String(string(m.Target())))
-		candidate := c.candidate(m, q, s, times, now)
-		candidate.Paused = c.pauseOf(m.Process(), now) > 0
-		candidates = append(candidates, candidate)
-		scores = append(scores, rendezvousScore(hash, candidate.Distance))
-	}
-	if q.Object == "" {
-		return withoutObject(candidates, q)
-	}
-	setRanks(candidates, scores)
-	// Tried and paused targets are removed only after ranking: a rejection by the first
-	// target doesn't mean that the next one has the object cached.
-	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return x.Paused || slices.Contains(q.Tried, x.Member.Target()) })
-	for i := range candidates {
-		candidates[i].LikelyCached = slices.Contains(processes[:], candidates[i].Member.Process())
-	}
-	return candidates
-}
-
-// withoutObject returns the candidates for a request that concerns no object:
-// caches make no difference, and ties are broken at random.
-func withoutObject(candidates []Candidate, q Query) []Candidate {
-	candidates = slices.DeleteFunc(candidates, func(x Candidate) bool { return x.Paused || slices.Contains(q.Tried, x.Member.Target()) })
-	for i := range candidates {
-		candidates[i].LikelyCached = true
-	}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates
-}
-
-// mix64 spreads the bits of a combined hash (the finalizer of splitmix64).
-func mix64(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// rendezvousScore returns the score of a target for an object in weighted
-// rendezvous hashing; the target with the lowest score ranks first. Targets in
-// this entry's region have a higher weight and so rank first more often. All
-// entries of a region compute the same score.
-func rendezvousScore(hash uint64, distance Distance) float64 {
-	weight := localWeight
-	if distance == OtherRegion {
-		weight = 1
-	}
-	return -math.Log((float64(hash)+1)/math.MaxUint64) / weight
-}
-
-// setRanks sets the ranks of the candidates from their rendezvous scores.
-// Unreachable candidates don't push others to a higher rank.
-func setRanks(candidates []Candidate, scores []float64) {
-	sorted := make([]int, len(candidates))
-	for i := range sorted {
-		sorted[i] = i
-	}
-	slices.SortFunc(sorted, func(i, j int) int { return cmp.Compare(scores[i], scores[j]) })
 	position := 0
-	for _, i := range sorted {
-		candidates[i].Rank = position
-		if !candidates[i].Unreachable {
+	for _, l := range work.listed {
+		candidate := c.candidate(l.member, q, s, times, now)
+		candidate.Paused = c.pauseOf(l.member.Process(), now) > 0
+		candidate.LikelyCached = q.Object == "" || slices.Contains(o.processes[:], l.member.Process())
+		if q.Object != "" {
+			candidate.Rank = position
+		}
+		// Unreachable candidates don't push others to a higher rank.
+		if !candidate.Unreachable {
 			position++
 		}
+		// Tried and paused targets count for the ranks: a rejection by the first
+		// target doesn't mean that the next one has the object cached.
+		if !candidate.Paused && !slices.Contains(q.Tried, l.member.Target()) {
+			candidates = append(candidates, candidate)
+		}
 	}
+	work.candidates = candidates
+	return candidates
 }
 
 func (c *Chooser) candidate(m *fleet.Member, q Query, s *serviceStats, times ServiceTimes, now time.Time) Candidate {
@@ -362,7 +337,7 @@
 	switch {
 	case zone == c.zone:
 		return SameZone
-	case zone.Region() == c.zone.Region():
+	case zone.Region() == c.region:
 		return SameRegion
 	}
 	return OtherRegion
--- a/pick/pause.go
+++ b/pick/pause.go
@@ -44,7 +44,7 @@
 	defer c.mu.Unlock()
 	shortest := time.Duration(0)
 	for _, m := range members {
-		if !q.Allowed(m.Zone().Region()) || slices.Contains(q.Tried, m.Target()) {
+		if !q.Allowed(m.Region()) || slices.Contains(q.Tried, m.Target()) {
 			continue
 		}
 		if pause := c.pauseOf(m.Process(), now); pause > 0 && (shortest == 0 || pause < shortest) {
--- a/pick/score.go
+++ b/pick/score.go
@@ -69,9 +69,6 @@
 // The weights of the score. Costs are multiples of a service's mean service time
 // unless stated otherwise.
 const (
-	// localWeight is the weight in rendezvous hashing of a target in this entry's
-	// region. A target in another region has weight 1.
-	localWeight = 2.0
 	// failCost is the cost of a target that fails every request.
 	failCost = 4.0
 	// zoneCost and regionCost are the costs of traffic that leaves the zone or
