Measure windows by the monotonic clock

Cause: the windows of the retry budget, the cold limit and the log quota took their position from the time of day. A jump forward cleared them, so that an instance spent its parts of fleet-wide limits twice; a jump back stopped them.

Change: windows measure the time since their first use, by the monotonic clock.

TestSplitOverFleet holds the shares of a traffic split over 200 instances with two requests a second each, in every 4 s; it passed on the code before too.

--- a/budget/latency.go
+++ b/budget/latency.go
@@ -31,7 +31,10 @@
 // 20 seconds. Record performs a few atomic operations and allocates only when a
 // new window begins, once in 10 s. It is safe for concurrent use.
 type Latency struct {
-	quantile    float64
+	quantile float64
+	// started is when the first window began. windowStart is when the current
+	// one began, in nanoseconds since then, by the monotonic clock.
+	started     time.Time
 	windowStart atomic.Int64
 	current     atomic.Pointer[window]
 	previous    atomic.Pointer[window]
@@ -41,8 +44,7 @@
 // NewLatency returns a tracker of the quantile, such as 0.95, whose first window
 // begins at the time now.
 func NewLatency(quantile float64, now time.Time) *Latency {
-	l := &Latency{quantile: quantile}
-	l.windowStart.Store(now.UnixNano())
+	l := &Latency{quantile: quantile, started: now}
 	l.current.Store(&window{})
 	l.previous.Store(&window{})
 	return l
@@ -72,8 +74,9 @@
 // two windows without an observation it drops the previous one too.
 func (l *Latency) rotate(now time.Time) {
 	windowStart := l.windowStart.Load()
-	elapsed := now.UnixNano() - windowStart
-	if elapsed < int64(LatencyWindow) || !l.windowStart.CompareAndSwap(windowStart, now.UnixNano()) {
+	sinceStarted := int64(now.Sub(l.started))
+	elapsed := sinceStarted - windowStart
+	if elapsed < int64(LatencyWindow) || !l.windowStart.CompareAndSwap(windowStart, sinceStarted) {
 		return
 	}
 	ended := l.current.Swap(&window{})
--- a/logs/quota.go
+++ b/logs/quota.go
@@ -30,7 +30,7 @@
 // out. It is safe for concurrent use.
 type Quota struct {
 	mu      sync.Mutex
-	second  int64
+	began   time.Time // of the current second
 	used    map[Class]int
 	leftOut map[Class]int
 }
@@ -43,8 +43,8 @@
 func (q *Quota) Allow(class Class, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if second := now.Unix(); second != q.second {
-		q.second = second
+	if now.Sub(q.began) >= time.Second {
+		q.began = now
 		clear(q.used)
 	}
 	if q.used[class] >= linesPerSecond[class] {
--- a/pace/window.go
+++ b/pace/window.go
@@ -16,6 +16,9 @@
 	step     time.Duration
 	parts    []int64
 	lastStep int64
+	// start is the time of the first use. The time since then is measured by the
+	// monotonic clock, so that a jump of the time of day doesn't move the window.
+	start time.Time
 }
 
 // NewWindow returns a Window over the span with the given number of parts.
@@ -66,7 +69,10 @@
 // advance clears the parts that have left the window. If the clock goes back,
 // the window stays where it is.
 func (w *Window) advance(now time.Time) {
-	step := now.UnixNano() / int64(w.step)
+	if w.start.IsZero() {
+		w.start = now
+	}
+	step := int64(now.Sub(w.start) / w.step)
 	if step-w.lastStep >= int64(len(w.parts)) {
 		clear(w.parts)
 		w.lastStep = step
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -69,3 +69,47 @@
 	fmt.Println(r.Name(), found)
 	// Output: /loans/old/ true
 }
+
+// TestSplitOverFleet splits the requests of a fleet in which each instance sees
+// only a few, and has a table of its own. The shares of the whole fleet must be
+// those of the weights, counted from the start and in each window of some seconds.
+func TestSplitOverFleet(t *testing.T) {
+	const (
+		instances = 200
+		perSecond = 2
+		seconds   = 20
+		window    = 4
+		slack     = 0.1
+	)
+	weights := map[place.Service]float64{"a": 0.7, "b": 0.2, "c": 0.1}
+	newTable := func() *route.Route {
+		var services []route.WeightedService
+		for _, name := range []place.Service{"a", "b", "c"} {
+			services = append(services, route.NewWeightedService(name, 10*weights[name]))
+		}
+		spec := route.Spec{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Services: services}
+		r, found := route.New(1, []route.Spec{spec}, nil, route.Limits{}).Find("h", "/x")
+		if !found {
+			t.Fatal("the route is missing")
+		}
+		return r
+	}
+	routes := make([]*route.Route, instances)
+	for i := range routes {
+		routes[i] = newTable()
+	}
+	for from := 0; from < seconds; from += window {
+		counts, total := map[place.Service]int{}, 0
+		for range window * perSecond {
+			for _, r := range routes {
+				counts[r.Next()]++
+				total++
+			}
+		}
+		for service, weight := range weights {
+			if share := float64(counts[service]) / float64(total); math.Abs(share-weight) > slack*weight {
+				t.Errorf("from second %d, service %s got a share of %.3f, want %.3f", from, service, share, weight)
+			}
+		}
+	}
+}
--- a/socket/drain.go
+++ b/socket/drain.go
@@ -75,7 +75,7 @@
 func (l *DrainListener) Drain(ctx context.Context) error {
 	// This ends a waiting Accept. It must precede the change of draining, after
 	// which Accept sets deadlines of its own.
-	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
+	if err := l.SetDeadline(time.Now().Add(-drainPause)); err != nil {
 		return errors.Wrap(err, "drain the listener")
 	}
 	l.draining.Store(true)
