Let the soak restore the store and have targets announce and pause

Three kinds of faults are new: the store is restored from a copy and what it lost is written again; a target announces in its answers that it leaves; a target rejects requests and asks for a pause. The checks count, for each instance and target, the requests after the drain time and those during a pause.

--- a/route/table_test.go
+++ b/route/table_test.go
@@ -83,7 +83,7 @@
 	)
 	weights := map[place.Service]float64{"a": 0.7, "b": 0.2, "c": 0.1}
 	newTable := func() *route.Route {
-		var services []route.WeightedService
+		services := make([]route.WeightedService, 0, len(weights))
 		for _, name := range []place.Service{"a", "b", "c"} {
 			services = append(services, route.NewWeightedService(name, 10*weights[name]))
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -27,6 +27,11 @@
 	// routeTimeout, so that requests still succeed, and above cancelTolerance, so
 	// that a target that goes on after its client canceled is noticed.
 	slowServiceTime = 900 * time.Millisecond
+	// minPause is the shortest pause that a target asks for.
+	minPause = time.Second
+	// rewriteTime is how long after the store was restored the operator and the
+	// targets have written again what it lacks. The platform allows two seconds.
+	rewriteTime = time.Second
 	// lingerTime is how long a draining target keeps running after drainTimeout.
 	lingerTime = time.Second
 )
@@ -128,7 +133,7 @@
 		t.link.reset()
 		time.Sleep(lasts)
 		// Another target, of a randomly chosen service, takes over the address.
-		w.store.Delete(platform.KindTargets, t.name)
+		w.remove(t)
 		next := w.add(services[random.IntN(len(services))], t.zone)
 		t.link.redirect(next.fake.Address())
 		t.link.setFault(fault{})
@@ -138,6 +143,24 @@
 			w.drain(t)
 		}
 	},
+	"announce": func(w *testbed, random *rand.Rand, lasts time.Duration) {
+		if t := w.pickTarget(random, true); t != nil {
+			t.behavior.Store(&behavior{serviceTime: targetServiceTime, announces: true})
+			time.Sleep(lasts)
+			w.drain(t)
+		}
+	},
+	"shed": func(w *testbed, random *rand.Rand, lasts time.Duration) {
+		t := w.pickTarget(random, false)
+		if t == nil {
+			return
+		}
+		defer w.record.beginDisturbance(t.name, "rejects and asks for a pause")()
+		t.behavior.Store(&behavior{serviceTime: targetServiceTime, pause: minPause + time.Duration(random.Int64N(int64(lasts)))})
+		time.Sleep(lasts)
+		t.behavior.Store(&behavior{serviceTime: targetServiceTime})
+	},
+	"restore":   func(w *testbed, _ *rand.Rand, lasts time.Duration) { w.restore(lasts) },
 	"configure": func(w *testbed, _ *rand.Rand, _ time.Duration) { w.configure() },
 }
 
@@ -156,12 +179,35 @@
 	w.put(t, fakes.Draining)
 	w.record.update(func() { w.record.drains = append(w.record.drains, change{at: w.record.now(), target: t.name}) })
 	time.Sleep(drainTimeout + lingerTime)
-	w.store.Delete(platform.KindTargets, t.name)
+	w.remove(t)
 	defer w.record.beginDisturbance(t.name, "end")()
 	t.link.setFault(fault{refuse: true})
 	t.link.reset()
 }
 
+// restore has the store lose what was written in the given time. The operator and
+// the targets write it again.
+func (w *testbed) restore(lost time.Duration) {
+	older := w.store.Copy()
+	time.Sleep(lost)
+	defer w.record.beginDisturbance(storeName, "restored from a copy")()
+	w.mu.Lock()
+	w.era++
+	w.store.Restore(older, fmt.Sprint(w.era))
+	w.mu.Unlock()
+	time.Sleep(rewriteTime)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.putConfig(w.store.Put)
+	for _, t := range w.targets {
+		if t.state == "" {
+			w.store.Delete(platform.KindTargets, t.name)
+		} else {
+			w.store.Put(platform.KindTargets, t.name, t.spec(t.state))
+		}
+	}
+}
+
 // injectLinkFault draws a fault, applies it to the link for the given duration
 // and removes it. The faults are drawn from their sorted names.
 func injectLinkFault(r *record, who string, l *link, random *rand.Rand, duration time.Duration) {
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -51,6 +51,53 @@
 	checkConfig(t, r, known)
 	checkCanceled(t, r, known)
 	checkBudget(t, arrivals)
+	checkNotices(t, r, known)
+}
+
+// Limits of what may reach a target that asked for a pause: the requests that were
+// on their way, and some more.
+const (
+	pauseTolerance  = 500 * time.Millisecond
+	maxDuringPauses = 2
+)
+
+// checkNotices looks for requests that an instance sent to a target during a pause
+// that the target had asked it for, or more than drainTimeout after the target had
+// announced to it that it leaves.
+func checkNotices(t *testing.T, r *record, known map[string]*call) {
+	t.Helper()
+	type pair struct{ node, target string }
+	sent := map[pair][]*arrival{}
+	for _, a := range r.arrivals {
+		if c := known[a.id]; c != nil && c.node != "" {
+			sent[pair{c.node, a.target}] = append(sent[pair{c.node, a.target}], a)
+		}
+	}
+	for p, arrivals := range sent {
+		for _, notice := range arrivals {
+			if notice.ended == 0 {
+				continue
+			}
+			during, late := 0, 0
+			for _, a := range arrivals {
+				if !r.undisturbed(notice.at, a.at, p.node, p.node+" stop", testMachine) {
+					continue
+				}
+				if notice.pause > 0 && a.at > notice.ended+pauseTolerance && a.at < notice.ended+notice.pause {
+					during++
+				}
+				if notice.announced && known[a.id].begun > notice.ended+drainTimeout {
+					late++
+				}
+			}
+			if during > maxDuringPauses {
+				t.Errorf("BUDGET: %d requests from %s reached target %s during a pause of %v from %v", during, p.node, p.target, notice.pause, notice.ended)
+			}
+			if late > 0 {
+				t.Errorf("DRAIN: %d requests from %s reached target %s later than %v after it announced at %v that it leaves", late, p.node, p.target, drainTimeout, notice.ended)
+			}
+		}
+	}
 }
 
 // checkCall checks one call against the arrivals of its request.
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -38,6 +38,10 @@
 	serviceTime, ended time.Duration
 	// answered is set if the target ended the request with an answer.
 	answered bool
+	// pause is the pause that the target asked for in its answer, and announced is
+	// set if it announced there that it leaves.
+	pause     time.Duration
+	announced bool
 }
 
 // change is a change of the configuration or a drain of a target, with the time
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -26,6 +26,10 @@
 type behavior struct {
 	serviceTime                                         time.Duration
 	failShare, dropShare, truncateShare, duplicateShare float64
+	// pause, if set, makes the target reject all requests and ask for a pause.
+	pause time.Duration
+	// announces makes the target announce in its answers that it leaves.
+	announces bool
 }
 
 // target is a simulated target behind a link.
@@ -41,6 +45,9 @@
 	// leaving is set once the target was chosen to crash or to drain; no other
 	// fault is injected into it from then on.
 	leaving bool
+	// state is the target's state in the store, "" if it isn't there. mu of the
+	// testbed guards it.
+	state string
 }
 
 func newTarget(name, service, zone string, r *record) (*target, error) {
@@ -63,6 +70,16 @@
 	}
 	a := &arrival{id: fakes.RequestID(r.Header), target: t.name, service: t.service, at: t.record.now()}
 	t.record.update(func() { t.record.arrivals = append(t.record.arrivals, a) })
+	conduct := t.behavior.Load()
+	if conduct.announces {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if conduct.pause > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(conduct.pause.Seconds()))
+		t.fake.RespondNotRun(w, r)
+		t.record.update(func() { a.answered, a.pause, a.ended = true, conduct.pause, t.record.now() })
+		return true
+	}
 	defer t.waiting.Add(-1)
 	if t.waiting.Add(1) > targetSlots+targetQueue {
 		t.fake.RespondNotRun(w, r)
@@ -105,7 +122,7 @@
 		t.fake.Respond(w, r, http.StatusInternalServerError, "failed")
 	default:
 		t.fake.Respond(w, r, http.StatusOK, body)
-		t.record.update(func() { a.answered = true })
+		t.record.update(func() { a.answered, a.announced = true, w.Header().Get("Server-Leaving") != "" })
 	}
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -38,6 +38,7 @@
 	mu            sync.Mutex
 	targets       []*target
 	version       int
+	era           int
 	targetsAdded  int
 }
 
@@ -46,6 +47,8 @@
 	w := &testbed{record: newRecord(), store: fakes.NewStore(), nodeByAddress: map[string]string{}, random: rand.New(rand.NewPCG(seed, seed))}
 	t.Cleanup(w.store.Close)
 	w.store.Rewrite(w.rewrite)
+	w.era = 1
+	w.store.SetEra(fmt.Sprint(w.era))
 	w.configure()
 	for _, zone := range zones {
 		for _, service := range services {
@@ -108,13 +111,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	service := services[w.version%len(services)]
-	put(platform.KindConfig, "main", fakes.ConfigTo(w.version, int(routeTimeout.Milliseconds()), service))
+	service := w.putConfig(put)
 	w.record.update(func() {
 		w.record.configChanges = append(w.record.configChanges, change{at: w.record.now(), version: w.version, service: service})
 	})
 }
 
+// putConfig writes the present version of the configuration and returns the
+// service to which it routes. The caller holds mu.
+func (w *testbed) putConfig(put func(kind, name, spec string)) (service string) {
+	service = services[w.version%len(services)]
+	put(platform.KindConfig, "main", fakes.ConfigTo(w.version, int(routeTimeout.Milliseconds()), service))
+	return service
+}
+
 // add starts a target and registers it in the store.
 func (w *testbed) add(service, zone string) *target {
 	w.mu.Lock()
@@ -125,14 +135,29 @@
 		panic(err)
 	}
 	w.targets = append(w.targets, made)
-	w.put(made, fakes.Ready)
+	w.putLocked(made, fakes.Ready)
 	return made
 }
 
 func (w *testbed) put(t *target, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.putLocked(t, state)
+}
+
+func (w *testbed) putLocked(t *target, state string) {
+	t.state = state
 	w.store.Put(platform.KindTargets, t.name, t.spec(state))
 }
 
+// remove deletes the target's entry in the store.
+func (w *testbed) remove(t *target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.state = ""
+	w.store.Delete(platform.KindTargets, t.name)
+}
+
 // pickTarget returns a random target that is not leaving, and marks it as
 // leaving if leaves is set. It returns nil if there is none.
 func (w *testbed) pickTarget(random *rand.Rand, leaves bool) *target {
