--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -234,6 +234,28 @@
 	eventually(t, 3*time.Second, "recent data", func() bool { return f.Age() < time.Second })
 }
 
+// TestRestartBringsNothingBack starts a process while the store is unavailable.
+// Targets that had left before must not be in use there again.
+func TestRestartBringsNothingBack(t *testing.T) {
+	store := newStore(t)
+	for _, name := range []string{"stays", "leaves", "gone"} {
+		store.Put("servers", name, targetSpec)
+	}
+	feeds := &feedSet{}
+	old := start(t, store, "i2", &fakePeers{live: []place.Instance{"i2"}, feeds: feeds})
+	eventually(t, 2*time.Second, "all targets", func() bool { return old.View().Size() == 3 })
+	store.Put("servers", "leaves", strings.Replace(targetSpec, "ready", "draining", 1))
+	store.Delete("servers", "gone")
+	eventually(t, 2*time.Second, "one target", func() bool { return old.View().Size() == 1 })
+	store.RejectCalls(http.StatusServiceUnavailable)
+	feeds.set("i2", old)
+	f := start(t, store, "i1", &fakePeers{live: []place.Instance{"i1"}, others: []place.Instance{"i2"}, feeds: feeds})
+	eventually(t, 4*time.Second, "ready without the store", f.Ready)
+	if _, found := f.View().Member("stays"); !found || f.View().Size() != 1 {
+		t.Errorf("%d targets are in use, want the one that stayed", f.View().Size())
+	}
+}
+
 // TestFollowerAsksNobodyElse checks that a follower sends no calls to other
 // zones while nothing changes and the instance that it follows answers.
 func TestFollowerAsksNobodyElse(t *testing.T) {
