Compress long configurations for followers

A follower waits 0.9 s; the configuration, sent as it is, takes longer than that on the link that 21 followers share, so that each of them turned to the store.

Change: changes of 16 KB or more are replaced by the whole list, unless that is over four times as long, and a list of that size is compressed, once for all followers.

Test: TestFollowsLongConfig.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -434,6 +434,10 @@
 		if !loaded || (len(objects) == 0 && !whole && position.Compare(after) <= 0) {
 			continue
 		}
+		if !whole && specBytes(objects) >= compressBytes {
+			// The whole list is compressed once for all followers.
+			objects, position, whole = f.mirrors[kind].wholeIfSmall(objects, position)
+		}
 		part := f.followedKind(kind, objects, position, whole)
 		if bytesLeft -= payloadSize(part); bytesLeft < 0 && len(response.Kinds) > 0 {
 			break
@@ -444,16 +448,19 @@
 	return response, hasChanges
 }
 
-// compressMin is the number of objects from which a whole list is compressed. A
-// shorter one fits into a few packets as it is.
-const compressMin = 50
+const (
+	// compressMin is the number of objects from which a whole list is compressed.
+	// A shorter one fits into a few packets as it is, unless it has compressBytes.
+	compressMin   = 50
+	compressBytes = 16 << 10
+)
 
 // followedKind makes the part of a response for one kind. A long list is
 // compressed once for all followers that request it within compressedTTL, even
 // if it has changed since: they request the changes next.
 func (f *Feed) followedKind(kind string, objects []platform.Object, position platform.Position, whole bool) wire.FollowedKind {
 	result := wire.FollowedKind{Kind: kind, Era: position.Era(), Revision: position.Revision(), Whole: whole}
-	if !whole || len(objects) < compressMin {
+	if !whole || (len(objects) < compressMin && specBytes(objects) < compressBytes) {
 		result.Objects = encodeObjects(objects)
 		return result
 	}
@@ -473,6 +480,15 @@
 	return result
 }
 
+// specBytes returns the size of the objects' contents.
+func specBytes(objects []platform.Object) int {
+	total := 0
+	for _, o := range objects {
+		total += len(o.Spec())
+	}
+	return total
+}
+
 func encodeObjects(objects []platform.Object) []wire.FollowedObject {
 	encoded := make([]wire.FollowedObject, 0, len(objects))
 	for _, o := range objects {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -346,3 +346,46 @@
 		t.Errorf("the sources are %s and %s, want i1", late.Source(), third.Source())
 	}
 }
+
+// TestFollowsLongConfig checks that a long configuration is sent compressed to the
+// instances that follow another one, for which all of them share its link, and
+// that each version arrives although another one was sent shortly before.
+func TestFollowsLongConfig(t *testing.T) {
+	const routes, compression = 1000, 5
+	longConfig := func(version int) string {
+		paths := make([]string, 0, routes)
+		for i := range routes {
+			paths = append(paths, fmt.Sprintf(`{"name":"r%d","path_prefix":"/p%d/","type":"idempotent","timeout_ms":1000,"target_latency_ms":200,"priority":1,"service":"svc","max_attempts":2}`, i, i*7919%routes))
+		}
+		return fmt.Sprintf(`{"version":%d,"services":[],"limits":{},"hosts":[{"host":"h.example","paths":[%s]}]}`, version, strings.Join(paths, ","))
+	}
+	store, feeds := newStore(t), &feedSet{}
+	first := start(t, store, "i1", &fakePeers{live: []place.Instance{"i1"}, feeds: feeds})
+	eventually(t, 3*time.Second, "ready", first.Ready)
+	feeds.set("i1", first)
+	follower := start(t, store, "i2", &fakePeers{live: []place.Instance{"i1"}, feeds: feeds})
+	eventually(t, 3*time.Second, "a follower", func() bool { return follower.Ready() && follower.Source() == "i1" })
+	for version := 2; version < 6; version++ {
+		before := first.HandleFollow(t.Context(), &wire.Follow{})
+		request := &wire.Follow{After: map[string]uint64{}, Eras: map[string]uint64{}}
+		for _, k := range before.Kinds {
+			request.After[k.Kind] = k.Revision
+		}
+		store.Put("config", "main", longConfig(version))
+		eventually(t, bound, "a long configuration", func() bool {
+			return configVersion(first) == version64(version) && configVersion(follower) == version64(version)
+		})
+		sent := 0
+		for _, k := range first.HandleFollow(t.Context(), request).Kinds {
+			sent += len(k.Compressed)
+			for _, o := range k.Objects {
+				sent += len(o.Spec)
+			}
+		}
+		if limit := len(longConfig(version)) / compression; sent == 0 || sent > limit {
+			t.Errorf("version %d: %d bytes were sent of a configuration of %d, want at most %d", version, sent, len(longConfig(version)), limit)
+		}
+	}
+}
+
+func version64(version int) uint64 { return uint64(version) }
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -51,15 +51,34 @@
 
 // compressedList returns the compressed list and its position. fresh reports
 // whether it may be used: it is recent, and all changes since its revision are
-// still kept.
+// still kept, unless these are as long as the list.
 func (m *mirror) compressedList(now time.Time) (list []byte, position platform.Position, fresh bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if specBytes(changedSince(m.changes, m.compressedPosition.Revision())) >= compressBytes && m.compressedPosition != m.at {
+		return nil, platform.Position{}, false
+	}
 	isRecent := m.compressed != nil && now.Sub(m.compressedAt) < compressedTTL &&
 		m.compressedPosition.Era() == m.at.Era() && m.compressedPosition.Revision() >= m.completeSince
 	return m.compressed, m.compressedPosition, isRecent
 }
 
+// wholeListFactor is how many times as long as the changes the whole list may be
+// to be sent in their place.
+const wholeListFactor = 4
+
+// wholeIfSmall returns all objects in place of long changes, unless they are much
+// longer, and whether it does.
+func (m *mirror) wholeIfSmall(changes []platform.Object, at platform.Position) ([]platform.Object, platform.Position, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := sorted(m.objects)
+	if at != m.at || specBytes(all) > wholeListFactor*specBytes(changes) {
+		return changes, at, false
+	}
+	return all, m.at, true
+}
+
 // setCompressed stores the compressed list of all objects at a position.
 func (m *mirror) setCompressed(list []byte, position platform.Position, now time.Time) {
 	m.mu.Lock()
@@ -176,12 +195,18 @@
 	case after.Era() < m.at.Era() || after.Revision() == 0 || after.Revision() < m.completeSince:
 		return sorted(m.objects), m.at, true, true
 	}
-	for _, c := range m.changes {
-		if c.at > after.Revision() {
+	return changedSince(m.changes, after.Revision()), m.at, false, true
+}
+
+// changedSince returns the objects that changed after a revision.
+func changedSince(changes []change, revision uint64) []platform.Object {
+	var objects []platform.Object
+	for _, c := range changes {
+		if c.at > revision {
 			objects = append(objects, c.object)
 		}
 	}
-	return objects, m.at, false, true
+	return objects
 }
 
 func sorted(objects map[string]platform.Object) []platform.Object {
