Count a connection as idle only when its server does

Found by reading the change: a client that waits for 100 Continue looked idle to the listener that drains, and each request without a body got a buffer of 4 KB. No test shows the first; it needs a stop within that round trip.

Change: a connection isn't idle while net/http handles a request from it; the first buffer of a body is as long as the body is said to be.

Ruled out: that the write deadline of a streamed answer ends the next answers on its connection. net/http lifts it; TestAnswerAfterStream stays.

--- a/front/held.go
+++ b/front/held.go
@@ -47,7 +47,7 @@
 	if r.ContentLength > int64(limit) {
 		return nil, errBodyTooLong
 	}
-	body, whole, err := hold.ReadAll(r.Body, share, limit+1, bodyBytesFree)
+	body, whole, err := hold.ReadAll(r.Body, share, r.ContentLength, limit+1, bodyBytesFree)
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "read the body")
@@ -77,6 +77,15 @@
 	return w, nil
 }
 
+// finishStream ends a streamed answer, whose head is already written.
+func (s *Server) finishStream(q *request, a sender.Answer, err error) {
+	if err != nil {
+		s.recordRefusal(q, answerBroken, err)
+		abortStream()
+	}
+	s.recordAnswer(q, a.Status())
+}
+
 // abortStream ends the connection of a client that got only a part of an answer,
 // so that the answer doesn't look complete.
 func abortStream() { panic(http.ErrAbortHandler) }
--- a/front/large_test.go
+++ b/front/large_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -153,6 +154,37 @@
 	eventually(t, 2*time.Second, "all buffers released", func() bool { return w.server.Dump().HeldBytes == 0 })
 }
 
+// TestAnswerAfterStream sends a streamed answer and a short one on one connection.
+// The time limit of the first must not end the second, which comes after it.
+func TestAnswerAfterStream(t *testing.T) {
+	const length, timeout = 3 * mebibyte, 300
+	w := newTestEnvWith(t, "", fakes.Config(1, timeout))
+	w.handleAll(func(_ *fakes.Target, rw http.ResponseWriter, r *http.Request) bool {
+		if fakes.RequestID(r.Header) != "r0" {
+			return false
+		}
+		hijackWith(rw, func(conn io.Writer) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s\r\n%sContent-Length: %d\r\n\r\n", fakes.RequestIDHeader, fakes.RequestID(r.Header), fakes.StampHeader, length)
+			writeLong(conn, length)
+		})
+		return true
+	})
+	conn := dial(t, w.address())
+	reader := bufio.NewReader(conn)
+	for i, want := range []int64{length, int64(len("whole"))} {
+		_, _ = fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: h.example\r\n%sr%d\r\n\r\n", fakes.RequestIDHeader, i)
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		n, err := io.Copy(io.Discard, response.Body)
+		if err != nil || n != want || response.Close {
+			t.Errorf("request %d: %d bytes, error %v, the connection closes: %v", i, n, err, response.Close)
+		}
+		time.Sleep(3 * timeout * time.Millisecond)
+	}
+}
+
 // TestEndlessAnswers lets one of two targets send bytes without end, in the head
 // or in the body, to a hundred requests at once. Each attempt must end, and good
 // requests beside them must be answered.
--- a/front/request.go
+++ b/front/request.go
@@ -201,15 +201,6 @@
 	w.WriteHeader(a.Status())
 }
 
-// finishStream ends a streamed answer, whose head is already written.
-func (s *Server) finishStream(q *request, a sender.Answer, err error) {
-	if err != nil {
-		s.recordRefusal(q, answerBroken, err)
-		abortStream()
-	}
-	s.recordAnswer(q, a.Status())
-}
-
 // writeRefusal writes the final answer to a request that got none from a
 // target. Retry-After is set only if no target ran the request and none will.
 func (s *Server) writeRefusal(w http.ResponseWriter, q *request, err error) {
--- a/front/server.go
+++ b/front/server.go
@@ -212,7 +212,7 @@
 		if err != nil {
 			return err
 		}
-		servers = append(servers, s.startServer(listener, p, route.Limits{HeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryTimeout}))
+		servers = append(servers, s.startServer(listener, p, route.Limits{HeaderTimeout: auxiliaryTimeout, IdleTimeout: auxiliaryTimeout}, nil))
 	}
 	defer func() {
 		for _, server := range servers {
@@ -227,7 +227,7 @@
 		return err
 	}
 	clientListener := socket.NewDrainListener(listener)
-	clientServer := s.startServer(clientListener, port{"clients", addresses.Clients(), s}, s.feed.Table().Limits())
+	clientServer := s.startServer(clientListener, port{"clients", addresses.Clients(), s}, s.feed.Table().Limits(), socket.TrackState)
 	s.log.WithField("version", s.feed.Table().Version()).Info("Serving requests.")
 	<-ctx.Done()
 	return s.shutDown(clientServer, clientListener)
@@ -257,11 +257,12 @@
 	return listener.(*net.TCPListener), nil
 }
 
-// startServer serves a port in the background.
-func (s *Server) startServer(listener net.Listener, p port, limits route.Limits) *http.Server {
+// startServer serves a port in the background. onState, if not nil, is called when
+// the state of a connection changes.
+func (s *Server) startServer(listener net.Listener, p port, limits route.Limits, onState func(net.Conn, http.ConnState)) *http.Server {
 	server := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout + idleTimeoutSlack,
-		MaxHeaderBytes: limits.HeaderBytes, ErrorLog: nil,
+		MaxHeaderBytes: limits.HeaderBytes, ErrorLog: nil, ConnState: onState,
 	}
 	go func() {
 		err := server.Serve(listener)
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// chunkBytes is the size of the first buffer that ReadAll reads into.
+// chunkBytes is the largest size of the first buffer that ReadAll reads into.
 const chunkBytes = 4 << 10
 
 // Budget is the number of bytes that may be buffered at once. It is safe for use
@@ -60,10 +60,15 @@
 // ReadAll reads until the end of the reader, or until limit bytes have been read
 // or the share gets no more room. whole reports whether it reached the end; if
 // not, the rest is still to be read. The first free bytes are not taken from the
-// share.
-func ReadAll(reader io.Reader, share *Share, limit, free int) (data []byte, whole bool, err error) {
+// share. length is the expected number of bytes, -1 if it is unknown.
+func ReadAll(reader io.Reader, share *Share, length int64, limit, free int) (data []byte, whole bool, err error) {
 	room := free
-	data = make([]byte, 0, min(chunkBytes, limit+1))
+	first := chunkBytes
+	if length >= 0 && length < chunkBytes {
+		// One more byte leaves room to see the end.
+		first = int(length) + 1
+	}
+	data = make([]byte, 0, min(first, limit+1))
 	for {
 		if len(data) == cap(data) {
 			size := min(2*cap(data), limit)
--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -30,16 +30,21 @@
 	const free = 8 << 10
 	tests := map[string]struct {
 		length, budget, limit int
-		whole                 bool
+		// stated is the length that ReadAll is told.
+		stated int64
+		whole  bool
 	}{
-		"empty":                  {0, 0, 1 << 20, true},
-		"short, no room":         {free - 1, 0, 1 << 20, true},
-		"longer, no room":        {free + 1, 0, 1 << 20, false},
-		"longer, room":           {free + 1, 1 << 20, 1 << 20, true},
-		"more than the room":     {1 << 20, 100 << 10, 1 << 20, false},
-		"more than the limit":    {64<<10 + 1, 1 << 20, 64 << 10, false},
-		"less than first buffer": {100, 0, 1000, true},
-		"more than small limit":  {2000, 0, 1000, false},
+		"empty":                  {0, 0, 1 << 20, -1, true},
+		"empty, stated":          {0, 0, 1 << 20, 0, true},
+		"short, no room":         {free - 1, 0, 1 << 20, -1, true},
+		"short, stated":          {100, 0, 1 << 20, 100, true},
+		"longer than stated":     {5000, 0, 1 << 20, 100, true},
+		"longer, no room":        {free + 1, 0, 1 << 20, -1, false},
+		"longer, room":           {free + 1, 1 << 20, 1 << 20, free + 1, true},
+		"more than the room":     {1 << 20, 100 << 10, 1 << 20, -1, false},
+		"more than the limit":    {64<<10 + 1, 1 << 20, 64 << 10, -1, false},
+		"less than first buffer": {100, 0, 1000, -1, true},
+		"more than small limit":  {2000, 0, 1000, -1, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +52,7 @@
 			budget := hold.New(int64(test.budget))
 			share := budget.Share()
 			reader := strings.NewReader(text)
-			data, whole, err := hold.ReadAll(iotest.HalfReader(reader), share, test.limit, free)
+			data, whole, err := hold.ReadAll(iotest.HalfReader(reader), share, test.stated, test.limit, free)
 			if err != nil || whole != test.whole {
 				t.Errorf("whole %v, error %v; want %v", whole, err, test.whole)
 			}
--- a/sender/body.go
+++ b/sender/body.go
@@ -116,7 +116,7 @@
 	if b.length > r.answerBytesMax && r.overflow == nil {
 		return errors.Wrapf(errIncompleteAnswer, "the answer's Content-Length is %d bytes; the limit is %d", b.length, r.answerBytesMax)
 	}
-	buffered, whole, err := hold.ReadAll(b, r.share, limit, uncountedBytes)
+	buffered, whole, err := hold.ReadAll(b, r.share, int64(b.length), limit, uncountedBytes)
 	switch {
 	case err != nil:
 		return incomplete(err)
--- a/socket/drain.go
+++ b/socket/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -139,6 +140,16 @@
 	// bytes have ever been written.
 	unanswered atomic.Bool
 	used       atomic.Bool
+	// active is set while the server handles a request from the connection.
+	active atomic.Bool
+}
+
+// TrackState tells a connection of a DrainListener its state at the server. It is
+// to be set as the server's ConnState.
+func TrackState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*drainConn); ok {
+		c.active.Store(state == http.StateActive)
+	}
 }
 
 // isIdle reports whether no request is expected to be under way on the
@@ -147,7 +158,7 @@
 	if !c.used.Load() && now.Sub(c.accepted) < firstRequestTime {
 		return false
 	}
-	return !c.unanswered.Load() && !hasUnread(c.TCPConn)
+	return !c.active.Load() && !c.unanswered.Load() && !hasUnread(c.TCPConn)
 }
 
 // Read implements net.Conn.
