Let a shortlist hide neither reachable targets nor the region

Cause: found by reading. If all targets on the shortlist were unreachable, one of them was chosen although others could be reached; if it had no target of the region, the limit on requests that leave the region was passed over.

Change: a shortlist has no best target in these cases, so that all targets are considered.

Tests: TestShortlistUnreachable (an unreachable target was chosen) and TestShortlistStaysInRegion (the share that leaves rose from 0.00 to 0.72 in one window, 0.15 is allowed), both red on the code before.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -185,7 +185,7 @@
 		return nil, nil //nolint:nilnil // documented
 	}
 	for {
-		i, estimate := c.best(candidates, q, times, now)
+		i, estimate := c.best(candidates, work.partial, q, times, now)
 		if i < 0 {
 			return nil, busyRefusal(candidates, q, times)
 		}
@@ -224,8 +224,9 @@
 // best returns the index of the best candidate and its estimate, or -1 if no
 // candidate has room. Unreachable targets are used only if all candidates are
 // unreachable. The limit on requests that leave the region applies while the
-// region has a reachable target.
-func (c *Chooser) best(candidates []Candidate, q Query, times ServiceTimes, now time.Time) (int, Estimate) {
+// region has a reachable target. A partial list of candidates doesn't show either,
+// and has no best candidate where that matters.
+func (c *Chooser) best(candidates []Candidate, partial bool, q Query, times ServiceTimes, now time.Time) (int, Estimate) {
 	fits := func(x Candidate, e Estimate) bool {
 		if x.Unreachable || e.Total > q.TimeLeft || !mayQueue(x, e) {
 			return false
@@ -233,6 +234,9 @@
 		return !x.Cold || c.coldLimiter.HasRoom(x.Member.Target(), q.ColdShare(x.Member), now)
 	}
 	local := slices.ContainsFunc(candidates, func(x Candidate) bool { return x.Distance != OtherRegion && !x.Unreachable })
+	if !local && partial && c.regionLimiter.Next(now) != pace.AnyRegion {
+		return -1, Estimate{}
+	}
 	if local {
 		switch c.regionLimiter.Next(now) {
 		case pace.OwnRegion:
@@ -246,7 +250,7 @@
 		}
 	}
 	i, e := Best(candidates, times, fits)
-	if i >= 0 || slices.ContainsFunc(candidates, func(x Candidate) bool { return !x.Unreachable }) {
+	if i >= 0 || partial || slices.ContainsFunc(candidates, func(x Candidate) bool { return !x.Unreachable }) {
 		return i, e
 	}
 	return Best(candidates, times, func(x Candidate, _ Estimate) bool { return !x.Cold })
--- a/pick/list.go
+++ b/pick/list.go
@@ -32,7 +32,9 @@
 
 // scratch holds the slices of a choice, which are reused.
 type scratch struct {
-	listed     []listedTarget
+	listed []listedTarget
+	// partial is set if listed is a shortlist.
+	partial    bool
 	candidates []Candidate
 }
 
@@ -48,7 +50,7 @@
 // listAll lists all targets that the request may go to, in the order of their
 // ranks, or in random order if the request concerns no object.
 func (c *Chooser) listAll(work *scratch, members []*fleet.Member, q Query, o object) {
-	work.listed = work.listed[:0]
+	work.listed, work.partial = work.listed[:0], false
 	for _, m := range members {
 		if q.Allowed(m.Region()) {
 			work.listed = append(work.listed, listedTarget{member: m, score: c.score(m, o.hash)})
@@ -66,7 +68,7 @@
 // those that recently handled the object, or a random sample if the request
 // concerns no object.
 func (c *Chooser) shortlist(work *scratch, members []*fleet.Member, q Query, o object) {
-	work.listed = work.listed[:0]
+	work.listed, work.partial = work.listed[:0], true
 	if q.Object == "" {
 		first := rand.IntN(len(members))
 		for range shortlistMax {
--- a/pick/list_test.go
+++ b/pick/list_test.go
@@ -102,7 +102,7 @@
 		var work scratch
 		c.listAll(&work, members, q, o)
 		candidates := c.candidates(&work, q, s, o, times, now)
-		want, estimate := c.best(candidates, q, times, now)
+		want, estimate := c.best(candidates, false, q, times, now)
 		attempt, err := c.Choose(members, q, now)
 		if (err == nil) != (want >= 0) {
 			t.Fatalf("error %v; the best of all is at %d", err, want)
@@ -119,6 +119,73 @@
 	})
 }
 
+// TestShortlistUnreachable makes all targets on the shortlist unreachable. The
+// choice must fall on a target that can be reached.
+func TestShortlistUnreachable(t *testing.T) {
+	members := testFleet(100)
+	c, now := newTestChooser(), time.Unix(1000, 0)
+	q := testQuery("x")
+	s := c.serviceFor(q.Service, q.Aim)
+	var short scratch
+	c.shortlist(&short, members, q, objectOf(q, s, now))
+	for _, l := range short.listed {
+		c.statsFor(l.member, s, now).unreachable = true
+	}
+	attempt, err := c.Choose(members, q, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if attempt.stats.unreachable {
+		t.Errorf("target %s was chosen, which is unreachable", attempt.Member().Target())
+	}
+}
+
+// TestShortlistStaysInRegion sends requests from a region with few targets, of
+// which most shortlists have none, after a while in which all requests stayed
+// there. The limit on requests that leave the region must hold as among all
+// targets.
+func TestShortlistStaysInRegion(t *testing.T) {
+	const targets, local, requests, windows = 400, 4, 400, 4
+	members := make([]*fleet.Member, 0, targets)
+	for i := range targets {
+		zone := place.Zone("b/b1")
+		if i < local {
+			zone = "a/a1"
+		}
+		members = append(members, fleet.NewMember(fleet.Report{
+			Target: place.Target(fmt.Sprintf("t%05d", i)), Service: "s", Zone: zone, Address: "10.0.0.1:80", Slots: requests, Born: 1,
+		}, time.Time{}))
+	}
+	const bound = 0.15
+	c := New("a/a1", pace.NewColdLimiter(), pace.NewRegionLimiter(bound))
+	now := time.Unix(1000, 0)
+	shares := make([]float64, 0, windows)
+	for window := range windows {
+		left := 0
+		for i := range requests {
+			q := testQuery(fmt.Sprint(window, i))
+			if window < 2 {
+				q.Allowed = func(r place.Region) bool { return r == "a" }
+			}
+			attempt, err := c.Choose(members, q, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			attempt.Done(Answered{}, nil, 0, now)
+			if attempt.Distance() == OtherRegion {
+				left++
+			}
+			now = now.Add(2 * time.Second / requests)
+		}
+		shares = append(shares, float64(left)/requests)
+	}
+	for i := 1; i < len(shares); i++ {
+		if shares[i]-shares[i-1] > bound {
+			t.Errorf("the share of requests that leave the region rises from %.2f to %.2f in one window, at most %.2f is allowed", shares[i-1], shares[i], bound)
+		}
+	}
+}
+
 // BenchmarkChoose measures one choice at different sizes of a service.
 func BenchmarkChoose(b *testing.B) {
 	for _, targets := range []int{36, 429, 4290} {
