--- a/front/large_test.go
+++ b/front/large_test.go
@@ -34,9 +34,9 @@
 }
 
 // TestAnswerBreaksOff lets targets break off an answer. The client must never get
-// what looks like a whole answer, and no target may run the request of a client
-// that got a part of it once more. The lengths are below and above what
-// an instance buffers.
+// what looks like a whole answer. A request whose client got a part of the answer
+// must not be sent to another target. The lengths are below and above what an
+// instance buffers.
 func TestAnswerBreaksOff(t *testing.T) {
 	lengths := map[string]int{"buffered": 20_000, "streamed": 3 * mebibyte}
 	heads := map[string]struct{ head, end string }{
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -224,8 +224,9 @@
 // best returns the index of the best candidate and its estimate, or -1 if no
 // candidate has room. Unreachable targets are used only if all candidates are
 // unreachable. The limit on requests that leave the region applies while the
-// region has a reachable target. A partial list of candidates doesn't show either,
-// and has no best candidate where that matters.
+// region has a reachable target. If partial is set, the candidates
+// are a shortlist, and targets that aren't on it may be reachable or in the region;
+// it then returns -1 instead of applying one of these two rules.
 func (c *Chooser) best(candidates []Candidate, partial bool, q Query, times ServiceTimes, now time.Time) (int, Estimate) {
 	fits := func(x Candidate, e Estimate) bool {
 		if x.Unreachable || e.Total > q.TimeLeft || !mayQueue(x, e) {
--- a/sender/body.go
+++ b/sender/body.go
@@ -79,7 +79,7 @@
 	if errors.Is(err, io.EOF) && e.left > 0 {
 		err = io.ErrUnexpectedEOF
 	}
-	return n, err //nolint:wrapcheck // incomplete wraps it
+	return n, err //nolint:wrapcheck // wrapBodyError wraps it
 }
 
 // skip reads and drops the whole body, up to limit bytes.
@@ -96,10 +96,12 @@
 	if err == nil && b.trailer != nil {
 		err = b.trailer()
 	}
-	return incomplete(err)
+	return wrapBodyError(err)
 }
 
-func incomplete(err error) error {
+// wrapBodyError marks an error of reading a body as an incomplete answer. It returns
+// nil for nil.
+func wrapBodyError(err error) error {
 	if err == nil {
 		return nil
 	}
@@ -119,7 +121,7 @@
 	buffered, whole, err := hold.ReadAll(b, r.share, int64(b.length), limit, uncountedBytes)
 	switch {
 	case err != nil:
-		return incomplete(err)
+		return wrapBodyError(err)
 	case whole:
 		answer.body = buffered
 		return b.finish(nil)
@@ -177,7 +179,7 @@
 			return copied, nil
 		}
 		if readErr != nil {
-			return copied, incomplete(readErr)
+			return copied, wrapBodyError(readErr)
 		}
 	}
 }
