Let the mean service time of an unused target start with a half-life

An answer at the time 0 of the clock then divided 0 by 0, and the NaN weight made the mean a large negative or positive number, which depends on the order of the goroutines' queueing.

The same 0 made AnswerTime of every unused target 0 instead of InitialServiceTime, so that targets without any answer went before all others.

The half-life now starts at ServiceTimeHalfLife.

--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -160,10 +160,11 @@
 // NewLedger returns the Ledger of a target that hasn't been used yet.
 func NewLedger(limits Limits) *Ledger {
 	return &Ledger{
-		limits:       limits,
-		running:      map[uint64]time.Duration{},
-		assumedSlots: limits.allowed(),
-		service:      InitialServiceTime,
+		limits:          limits,
+		running:         map[uint64]time.Duration{},
+		assumedSlots:    limits.allowed(),
+		service:         InitialServiceTime,
+		serviceHalfLife: ServiceTimeHalfLife,
 	}
 }
 
--- a/keeper/recovery_test.go
+++ b/keeper/recovery_test.go
@@ -61,3 +61,21 @@
 		})
 	}
 }
+
+// TestFirstAnswer: before its first answer a target counts with
+// InitialServiceTime, and an answer at the time at which the clock starts
+// updates the mean like any other.
+func TestFirstAnswer(t *testing.T) {
+	l := keeper.NewLedger(keeper.NewLimits(1, 9, second))
+	if got := l.AnswerTime(0); got != keeper.InitialServiceTime {
+		t.Errorf("AnswerTime = %v before the first answer, want %v", got, keeper.InitialServiceTime)
+	}
+	if got := l.AnswerTime(keeper.ServiceTimeHalfLife - 1); got != keeper.InitialServiceTime {
+		t.Errorf("AnswerTime = %v within the first half-life, want %v", got, keeper.InitialServiceTime)
+	}
+	l.Arrive(1, second, 0)
+	l.Finish(1, keeper.OutcomeRan, 0)
+	if got := l.ServiceTime(); got <= 0 || got > keeper.InitialServiceTime {
+		t.Errorf("ServiceTime = %v after an answer that took no time, want at most %v", got, keeper.InitialServiceTime)
+	}
+}
