Retry at new processes, repeat releases and request released leases at once

rolling_pair and rolling_replacement failed now and then beside load.

Causes: - A request that was forwarded to a process that had just started was refused as not-ready or no-target, and only lost-keeper and peer-failed are retried. A target that is missing from the list now counts as one without a keeper here, and not-ready is retried too. - The release of a lease was sent once, with a time-out of 400 ms. If it was lost, the lease ran on to its end. It is now repeated until the elector acknowledges it or the grant expires. - A released lease woke the next round of the electors, but they renewed leases only with the next heartbeat: in the trace 504 ms and 251 ms passed between a release and the next keeper, during which every forward met the old one. They now request it in the round that the release starts.

Ruled out: load alone (the trace shows the gap with all processes running), and reads whose only targets left (no target leaves in these scripts).

--- a/entry/lease.go
+++ b/entry/lease.go
@@ -85,7 +85,7 @@
 	}
 	calls.Wait()
 	if released {
-		l.wake()
+		l.signalReleased()
 	}
 	answer := &wire.LeaseAck{Incarnation: ack.Incarnation, SentNanos: int64(ack.Sent)}
 	for _, r := range ack.Granted {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -79,13 +79,13 @@
 	meters       atomic.Pointer[map[place.Service]*meter]
 	keepersKnown atomic.Bool
 	wasSynced    bool // Entry.synced at the last update; accessed only by run
-	wakeup       chan struct{}
+	released     chan struct{}
 	heardSince   map[place.Instance]firstHeard // accessed only by run
 	regionFullAt sync.Map                      // place.Region to time.Duration of its last refusal
 }
 
 func newLimits(e *Entry) *limits {
-	l := &limits{entry: e, startedAt: e.now(), wakeup: make(chan struct{}, 1), heardSince: map[place.Instance]firstHeard{}}
+	l := &limits{entry: e, startedAt: e.now(), released: make(chan struct{}, 1), heardSince: map[place.Instance]firstHeard{}}
 	l.leases = keeper.NewLeases(e.self.Instance, e.self.Incarnation, l.clock())
 	l.targets.Store(&map[place.Target]*targetState{})
 	l.meters.Store(&map[place.Service]*meter{})
@@ -125,10 +125,11 @@
 // ends.
 func (l *limits) run(ctx context.Context) {
 	var lastRenewal, lastPoll time.Duration
+	released := false
 	for {
 		l.update()
 		now := l.clock()
-		if keeperUnknown := l.checkKeepers(); keeperUnknown || now >= lastRenewal+keeper.HeartbeatInterval {
+		if keeperUnknown := l.checkKeepers(); released || keeperUnknown || now >= lastRenewal+keeper.HeartbeatInterval {
 			lastRenewal = now
 			l.renewLeases(ctx)
 		}
@@ -138,14 +139,16 @@
 		}
 		l.pollReports(ctx, all)
 		l.askKeepers(ctx)
-		if !l.waitNextRound(ctx) {
+		released = l.waitNextRound(ctx)
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
-// waitNextRound waits until the next round is due or wake is called. It returns
-// false when ctx ends.
+// waitNextRound waits until the next round is due, a lease is released or ctx
+// ends. It reports whether a lease was released, which this entry then requests
+// without waiting for its next heartbeat.
 func (l *limits) waitNextRound(ctx context.Context) bool {
 	wait := roundInterval
 	if l.checkKeepers() || l.needsReports() {
@@ -155,8 +158,8 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
-	case <-l.wakeup:
+		return false
+	case <-l.released:
 		return true
 	case <-ctx.Done():
 		return false
@@ -174,10 +177,10 @@
 	return false
 }
 
-// wake starts the next round at once, for instance because a lease was released.
-func (l *limits) wake() {
+// signalReleased starts the next round at once, because a lease was released.
+func (l *limits) signalReleased() {
 	select {
-	case l.wakeup <- struct{}{}:
+	case l.released <- struct{}{}:
 	default:
 	}
 }
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -71,15 +71,19 @@
 	}
 }
 
-// shouldRetry reports whether the request did not run because a keeper is missing
-// or unreachable, and its deadline leaves time for a retry. Only the entry that
+// shouldRetry reports whether the request did not run because a keeper is missing,
+// unreachable or has just started, and its deadline leaves time for a retry. Only the entry that
 // received the request from the caller retries it.
 func (e *Entry) shouldRetry(r *Request, err error) bool {
 	refusal := errs.AsRefusal(err)
 	if r.hops > 0 || refusal.Verdict() != errs.VerdictNotRun || r.deadline.Sub(e.now()) < 2*keeperRetryDelay {
 		return false
 	}
-	return refusal.Reason() == errs.ReasonLostKeeper || refusal.Reason() == errs.ReasonPeerFailed
+	switch refusal.Reason() {
+	case errs.ReasonLostKeeper, errs.ReasonPeerFailed, errs.ReasonNotReady:
+		return true
+	}
+	return false
 }
 
 // routeOnce tries each availability zone once. The error is that of the last zone
@@ -216,7 +220,7 @@
 func (e *Entry) sendViaKeeper(ctx context.Context, v *view, policy *config.Policy, r *Request, name place.Target) (*wire.Answer, error) {
 	k := (*e.limits.targets.Load())[name]
 	if k == nil {
-		return nil, errs.NotRun(errs.ReasonNoTarget, DefaultRetryAfter, "instance %s has no target %s in its list", e.self.Instance, name)
+		return nil, e.targetMissing(name)
 	}
 	current := *k.keeper.Load()
 	if k.lease.Held(e.limits.clock()) || current == e.self.Instance {
@@ -228,6 +232,13 @@
 	return e.forward(ctx, current, message)
 }
 
+// targetMissing returns the refusal for a target that this entry's list doesn't
+// have. The sender's list is newer, as while this process starts, so the refusal is
+// that of an entry that isn't the keeper yet.
+func (e *Entry) targetMissing(name place.Target) error {
+	return errs.NotRun(errs.ReasonLostKeeper, DefaultRetryAfter, "instance %s has no target %s in its list", e.self.Instance, name)
+}
+
 // candidates returns the usable targets of the service in this zone, each with
 // the state that its keeper reported.
 func (l *limits) candidates(v *view, policy *config.Policy, service place.Service) []steer.Candidate {
@@ -288,7 +299,7 @@
 	k := (*e.limits.targets.Load())[name]
 	client := v.clients[name]
 	if k == nil || client == nil {
-		return nil, errs.NotRun(errs.ReasonNoTarget, DefaultRetryAfter, "instance %s has no target %s in its list", e.self.Instance, name)
+		return nil, e.targetMissing(name)
 	}
 	deadline := e.limits.clock() + r.deadline.Sub(e.now())
 	permit, err := k.acquireSlot(ctx, deadline)
--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -122,8 +122,9 @@
 	acksValidAfter time.Duration                    // grants requested at or before this time are ignored
 	joiningUntil   map[place.Instance]time.Duration // time until which new electors don't count
 	oldViewUntil   time.Duration                    // when the lease under an earlier view expires
-	releasing      bool
-	handoverUntil  time.Duration // before this time, the next holder is sent the ledger
+	releaseTo      map[place.Instance]bool          // electors that haven't acknowledged the release
+	releaseUntil   time.Duration                    // when the grants to be released expire
+	handoverUntil  time.Duration                    // before this time, the next holder is sent the ledger
 	lease          *Lease
 }
 
@@ -261,19 +262,18 @@
 		request := LeaseRequest{Resource: r, View: s.view}
 		switch {
 		case l.shouldRequest(s, now):
-			s.releasing = false
+			clear(s.releaseTo)
 			if l.grantLease(s, l.self, l.incarnation, now, now) {
 				s.acks[l.self] = now
 				s.updateExpiry(now)
 			}
-		case s.releasing:
+		case len(s.releaseTo) > 0 && now < s.releaseUntil:
 			request.Release = true
-			s.releasing = false
 		default:
 			continue
 		}
 		for _, e := range s.electors {
-			if e != l.self {
+			if e != l.self && (!request.Release || s.releaseTo[e]) {
 				requests[e] = append(requests[e], request)
 			}
 		}
@@ -365,7 +365,7 @@
 	return slices.Index(s.electors, from) < slices.Index(s.electors, l.self)
 }
 
-// relinquish gives up this entry's lease; grants that were requested up to now
+// relinquish gives up this entry's own grant and its lease; grants that were requested up to now
 // no longer count. The ledger goes to the next entry that gets the lease within
 // LeaseTime. After that another keeper may have sent requests in the meantime.
 func (s *resourceState) relinquish(now time.Duration) {
@@ -377,7 +377,13 @@
 	s.oldViewUntil = -1 << 62
 	s.lease.until.Store(-1 << 62)
 	s.granted.until = now
-	s.releasing = true
+	s.releaseUntil = now + LeaseTime
+	s.releaseTo = make(map[place.Instance]bool, len(s.electors))
+	for _, e := range s.electors {
+		if e != s.granted.holder {
+			s.releaseTo[e] = true
+		}
+	}
 }
 
 // release frees the lease that the sender gives back, unless the sender has
@@ -392,13 +398,19 @@
 }
 
 // HandleAck counts the leases that an elector granted. Their time runs from
-// when the heartbeat was sent.
+// when the heartbeat was sent. An answer to a heartbeat that was
+// sent after a lease was given up acknowledges the release.
 func (l *Leases) HandleAck(from place.Instance, ack HeartbeatReply, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if ack.Incarnation != l.incarnation || ack.Sent > now {
 		return
 	}
+	for _, s := range l.states {
+		if len(s.releaseTo) > 0 && ack.Sent >= s.acksValidAfter {
+			delete(s.releaseTo, from)
+		}
+	}
 	for _, r := range ack.Granted {
 		s := l.states[r]
 		if s == nil || now < s.joiningUntil[from] || ack.Sent <= s.acksValidAfter {
@@ -430,7 +442,7 @@
 
 // Leave gives up all leases of this entry before a planned stop. The entry
 // still grants leases to others, and hands its ledgers over to those that
-// request them. The next Tick informs the other electors.
+// request them. The next calls of Tick inform the other electors.
 func (l *Leases) Leave(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
