Hedge a hanging request once the budget allows it

hedged_reads failed now and then beside load: reads that went to the target that hangs ran out of their time. A request asked for a hedged send once, when the hedge delay ended, and not at all if the budget was spent when it began. Beside load more than 5 % of the reads take longer than the 95th percentile of the last seconds, so the budget is often spent just then; the request then waited at the hanging target until its deadline.

It now asks again every hedge delay (10 ms at least) until the budget allows it. The budget is the same, so there is no more load. A candidate that the budget doesn't allow no longer counts as tried, so that a retry can use it.

Found by reading; the failed reads of the scripts were not traced one by one, so nothing else is ruled out.

--- a/budget/hedge.go
+++ b/budget/hedge.go
@@ -19,7 +19,8 @@
 }
 
 // Hedge runs first and, if it has not returned when hedgeTimer fires and allowed
-// returns true, runs second concurrently. It returns the first successful
+// returns true, runs second concurrently. If allowed returns false, it asks again
+// each time that hedgeTimer fires. It returns the first successful
 // response and cancels the other call. If first fails before second is started,
 // Hedge returns its error, and the caller decides on a retry. If both fail, it
 // returns an error with the verdict may-have-run if either has one. Only
@@ -36,14 +37,13 @@
 		})
 	}
 	start(first)
-	select {
-	case only := <-results:
-		return only.value, only.err
-	case <-hedgeTimer:
-	}
-	if !allowed() {
-		only := <-results
-		return only.value, only.err
+	for hedged := false; !hedged; {
+		select {
+		case only := <-results:
+			return only.value, only.err
+		case <-hedgeTimer:
+			hedged = allowed()
+		}
 	}
 	start(second)
 	earlier := <-results
--- a/budget/spend.go
+++ b/budget/spend.go
@@ -17,6 +17,9 @@
 	AttemptsMax = 4
 
 	hedgeQuantile = 0.95
+	// hedgePauseMin is the shortest time between two checks whether the budget
+	// allows a hedged send that it didn't allow before.
+	hedgePauseMin = 10 * time.Millisecond
 )
 
 // Service holds the budgets and the latency of one service. It is safe for
@@ -134,25 +137,32 @@
 	return value, err
 }
 
-// hedge sends the request to the candidate, and to a second one after the hedge
-// delay if the request is idempotent and the hedge budget allows it.
+// hedge sends the request to the candidate, and to a second one once the hedge
+// delay has passed and the hedge budget allows it, if the request is idempotent.
+// While a target hangs, the budget is often spent when the delay ends.
 func (r *runState[C, T]) hedge(ctx context.Context, candidate C) (T, error) {
 	delay, known := r.service.HedgeDelay()
-	if !r.idempotent || !known || r.service.hedges.Available() == 0 {
+	if !r.idempotent || !known {
 		return r.route.Send(ctx, candidate)
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
+	ticker := time.NewTicker(delay)
+	defer ticker.Stop()
 	var second C
 	allowed := func() bool {
-		var found bool
-		if second, found = r.pickNext(); !found || !r.service.hedges.Take() {
+		ticker.Reset(max(delay, hedgePauseMin))
+		if r.service.hedges.Available() == 0 {
 			return false
 		}
+		next, found := r.route.Pick(slices.Clip(r.tried))
+		if !found || !r.service.hedges.Take() {
+			return false
+		}
+		second = next
+		r.tried = append(r.tried, next)
 		r.service.hedged.Add(1)
 		return true
 	}
-	return Hedge(ctx, r.group, timer.C, allowed,
+	return Hedge(ctx, r.group, ticker.C, allowed,
 		func(ctx context.Context) (T, error) { return r.route.Send(ctx, candidate) },
 		func(ctx context.Context) (T, error) { return r.route.Send(ctx, second) })
 }
--- a/budget/spend_test.go
+++ b/budget/spend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,3 +94,58 @@
 	}
 	<-canceled
 }
+
+// TestHedgesOnceBudgetAllows: a request that hangs while the hedge budget is spent
+// is hedged as soon as other requests have earned a token.
+func TestHedgesOnceBudgetAllows(t *testing.T) {
+	service := budget.NewService(0, 10, time.Now())
+	var group conc.WaitGroup
+	defer group.Wait()
+	var hanging atomic.Int64
+	route := func(hangs bool) budget.Route[int, int] {
+		return budget.Route[int, int]{
+			Pick: func(tried []int) (int, bool) { return len(tried), len(tried) < 2 },
+			Send: func(ctx context.Context, candidate int) (int, error) {
+				if hangs && candidate == 0 {
+					hanging.Add(1)
+					<-ctx.Done()
+					return 0, errs.MayHaveRun(errs.ReasonCanceled, "canceled")
+				}
+				return candidate, nil
+			},
+		}
+	}
+	run := func(ctx context.Context, hangs bool) (int, error) {
+		return budget.Run(ctx, service, &group, true, route(hangs))
+	}
+	for range budget.LatencySamplesMin {
+		if _, err := run(t.Context(), false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// More requests than the budget has tokens hang at once.
+	const requests = budget.BurstDefault + 3
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var answered atomic.Int64
+	var callers conc.WaitGroup
+	for range requests {
+		callers.Go(func() {
+			if value, err := run(ctx, true); err == nil && value == 1 {
+				answered.Add(1)
+			}
+		})
+	}
+	for hanging.Load() < requests {
+		time.Sleep(time.Millisecond)
+	}
+	for range 10 * requests {
+		if _, err := run(t.Context(), false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	callers.Wait()
+	if answered.Load() != requests {
+		t.Errorf("%d of %d requests that hung at one target were answered by another", answered.Load(), requests)
+	}
+}
