Trial: estimate service times by route

Each route now has its own, which starts from its first samples.

The right expectation finds slow targets later, because a request counts as slow from 3.5 times what was expected.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -35,6 +35,9 @@
 // Query describes a request that needs a target.
 type Query struct {
 	Service place.Service
+	// Route names the route of the request. Service times are estimated by route,
+	// because the routes of a service may need very different amounts of work.
+	Route string
 	// Object is the key of the object that the request concerns. It is empty if
 	// the object is unknown or if targets don't cache objects.
 	Object string
@@ -83,6 +86,7 @@
 	chooser      *Chooser
 	member       *fleet.Member
 	service      *serviceStats
+	route        *routeTimes
 	stats        *targetStats
 	object       uint64
 	keyed        bool
@@ -154,17 +158,17 @@
 func (c *Chooser) Choose(members []*fleet.Member, q Query, now time.Time) (*Attempt, error) {
 	s := c.serviceFor(q.Service, q.Aim)
 	o := objectOf(q, s, now)
-	times := s.serviceTimes()
+	route, times := s.timesOf(q.Route, q.Aim)
 	work := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(work)
 	if len(members) > shortlistMax {
 		c.shortlist(work, members, q, o)
-		if attempt, _ := c.chooseFrom(work, q, s, o, times, now); attempt != nil {
+		if attempt, _ := c.chooseFrom(work, q, s, o, route, times, now); attempt != nil {
 			return attempt, nil
 		}
 	}
 	c.listAll(work, members, q, o)
-	attempt, refusal := c.chooseFrom(work, q, s, o, times, now)
+	attempt, refusal := c.chooseFrom(work, q, s, o, route, times, now)
 	if attempt != nil {
 		return attempt, nil
 	}
@@ -179,7 +183,7 @@
 
 // chooseFrom returns an attempt at the best of the listed targets. If none can
 // take the request, it returns a refusal, nil if no target is eligible at all.
-func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, times ServiceTimes, now time.Time) (*Attempt, error) {
+func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, route *routeTimes, times ServiceTimes, now time.Time) (*Attempt, error) {
 	candidates := c.candidates(work, q, s, o, times, now)
 	if len(candidates) == 0 {
 		return nil, nil //nolint:nilnil // documented
@@ -195,16 +199,16 @@
 			continue
 		}
 		c.regionLimiter.Count(chosen.Distance == OtherRegion, now)
-		return c.send(chosen, estimate, s, o.hash, q, now), nil
+		return c.send(chosen, estimate, s, route, o.hash, q, now), nil
 	}
 }
 
-func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, object uint64, q Query, now time.Time) *Attempt {
+func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, route *routeTimes, object uint64, q Query, now time.Time) *Attempt {
 	c.mu.Lock()
 	l := c.statsFor(chosen.Member, s, now)
 	c.mu.Unlock()
 	attempt := &Attempt{
-		chooser: c, member: chosen.Member, service: s, stats: l, object: object, keyed: q.Object != "",
+		chooser: c, member: chosen.Member, service: s, route: route, stats: l, object: object, keyed: q.Object != "",
 		likelyCached: chosen.LikelyCached, at: now, estimate: estimate,
 		distance: chosen.Distance, load: chosen.Load, expected: estimate.nominal,
 		sampled: estimate.Wait == 0 && !chosen.Cold && chosen.Slowdown < sampleSlowdownMax && (chosen.LikelyCached || chosen.Rank > 0),
@@ -377,7 +381,7 @@
 		l.updateFailureRate(0)
 		l.observeDuration(took, a.expected)
 		if a.sampled {
-			a.service.observeServiceTime(took-l.rtt, a.likelyCached)
+			a.service.observeServiceTime(a.route, took-l.rtt, a.likelyCached)
 		}
 	case Rejected:
 		l.consecutiveBreaks = 0
--- a/pick/list_test.go
+++ b/pick/list_test.go
@@ -98,7 +98,8 @@
 				stats.unreachable = true
 			}
 		}
-		o, times := objectOf(q, s, now), s.serviceTimes()
+		o := objectOf(q, s, now)
+		_, times := s.timesOf(q.Route, q.Aim)
 		var work scratch
 		c.listAll(&work, members, q, o)
 		candidates := c.candidates(&work, q, s, o, times, now)
--- a/pick/score.go
+++ b/pick/score.go
@@ -63,13 +63,6 @@
 	Paused bool
 }
 
-// ServiceTimes holds the service times of a service: how long its targets work
-// on a request, without queueing.
-type ServiceTimes struct {
-	// Hit is the service time if the target has the object cached, Miss if not.
-	Hit, Miss time.Duration
-}
-
 // The weights of the score. Costs are multiples of a service's mean service time
 // unless stated otherwise.
 const (
@@ -127,7 +120,7 @@
 	if c.Cold {
 		slowdown = max(slowdown, coldSlow)
 	}
-	wait := max(c.Load+1-slots, 0) / slots * float64(times.Hit)
+	wait := max(c.Load+1-slots, 0) / slots * float64(times.Queued)
 	nominal := float64(c.RTT) + wait + serviceTime
 	wait *= slowdown
 	total := float64(c.RTT) + wait + serviceTime*slowdown
