Keep misses out of a crowded service, and standing queues within the aim

Load pattern: more requests than the targets can serve. In the replay at 1.2 times the capacity, 122 of 3,237 requests that targets began within 12 s were cache misses, each as long as three hits, and lookups that hit the cache waited 441 ms on average, of the 330 ms that their aim leaves. So both belong together: while the service's mean load says that it is crowded, a target without the object gets no request, and a standing queue may take as long as the aim leaves.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -23,10 +23,14 @@
 	defaultRegionRTT = 3 * time.Millisecond
 	defaultRemoteRTT = 40 * time.Millisecond
 	// maxWaitFactor times the difference between the aim and the service time is
-	// the longest time a request may queue. It is above 1 because load reports
-	// arrive late and the queue may be shorter than reported; a much larger value
-	// would make every answer late.
-	maxWaitFactor = 1.5
+	// the longest time a request may queue, and minWaitFactor times the service
+	// time the least that it is taken for: while caches are empty, the service time
+	// of a hit is overestimated.
+	maxWaitFactor = 1.0
+	minWaitFactor = 0.75
+	// crowdedLoad is the mean load per slot from which a service is crowded, as a
+	// multiple of the ratio between the service times of a hit and of a miss.
+	crowdedLoad = 1.5
 	// sampleSlowdownMax is the slowdown up to which the answers of a target
 	// count as samples of the service time.
 	sampleSlowdownMax = 1.5
@@ -264,13 +268,20 @@
 // mayQueue reports whether a request may be sent to a candidate with the
 // expected queueing time. At a candidate without the object in its cache, a
 // request needs a free slot: in the queue it would displace several requests
-// that hit the cache. At the others a burst may queue, but a standing queue adds
-// delay to every request without serving more of them.
-func mayQueue(x Candidate, e Estimate) bool { return e.Wait == 0 || x.expectsHit() && !x.Standing }
+// that hit the cache. While the service is crowded it gets none either, because
+// the next requests that hit the cache need that slot. At the others a burst may
+// queue, but a standing queue adds delay to every request without serving more of
+// them.
+func mayQueue(x Candidate, e Estimate) bool {
+	if !x.expectsHit() {
+		return e.Wait == 0 && !x.Crowded
+	}
+	return e.Wait == 0 || !x.Standing
+}
 
 // maxWait returns how long a request may queue at a target.
 func maxWait(aim time.Duration, times ServiceTimes) time.Duration {
-	return max(time.Duration(maxWaitFactor*float64(aim-times.Hit)), times.Hit)
+	return time.Duration(max(maxWaitFactor*float64(aim-times.Hit), minWaitFactor*float64(times.Hit)))
 }
 
 // busyRefusal returns the refusal of a request for which no target has room,
@@ -338,11 +349,19 @@
 		Member: m, Distance: distance, Load: l.load(now), Slowdown: l.currentSlowdown(now), FailureRate: l.failureRate,
 		RTT: rtt, Cold: m.Cold(now), Unreachable: l.unreachable,
 	}
+	candidate.Crowded = crowded(s.decayedMeanLoad(now), m.Slots(), times)
 	candidate.HeardSlowdown = l.heardSlowdown(now)
 	candidate.Standing = l.updateStanding(q.Aim > 0 && Expect(candidate, times).Wait > maxWait(q.Aim, times), now)
 	return candidate
 }
 
+// crowded reports whether a service with the mean load per target has no room for
+// requests that miss the cache. The longer a miss takes compared with a hit, the
+// more hits it displaces.
+func crowded(meanLoad float64, slots int, times ServiceTimes) bool {
+	return meanLoad*float64(times.Miss) >= crowdedLoad*float64(times.Hit)*float64(slots)
+}
+
 func (c *Chooser) distance(zone place.Zone) Distance {
 	switch {
 	case zone == c.zone:
--- a/pick/score.go
+++ b/pick/score.go
@@ -57,6 +57,9 @@
 	// Standing is true if the target has a standing queue: one that has exceeded
 	// the longest acceptable wait for a while.
 	Standing bool
+	// Crowded is true if the target's service has no room for requests that miss
+	// the cache.
+	Crowded bool
 	// Unreachable is true if the target was found unreachable.
 	Unreachable bool
 	// Paused is true if the target asked this entry to send nothing for a while.
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -76,15 +76,15 @@
 }
 
 // TestOverload checks that under a load above the capacity of targets that have
-// cached every object, callers get at least a third of what could be served in
-// time. When only the route's timeout bounded the waits and unknown targets
-// counted as idle, the worth was 0.13 and 0.08.
+// cached every object, callers get at least half of what could be served in time.
+// When targets without the object took what the others had no room for, its worth
+// was 0.36 and 0.18, because a miss takes the time of three hits.
 func TestOverload(t *testing.T) {
 	for name, possible := range map[string]float64{"overload-1.2": 1 / 1.2, "overload-2": 1.0 / 2} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if got := worth(read(t, name), replay.Policy{}, disturbanceFrom, afterTo); got < possible/3 {
-				t.Errorf("worth %.3f, want at least a third of %.2f", got, possible)
+			if got := worth(read(t, name), replay.Policy{}, disturbanceFrom, afterTo); got < possible/2 {
+				t.Errorf("worth %.3f, want at least half of %.2f", got, possible)
 			}
 		})
 	}
