Read the long lists within the zone when a process starts

Seeds are now tried in the order of their distance, and only the short list of instances is read from them; the others come from one of two instances of the own zone, or from the seed if neither serves within 0.3 s. An old build ignores the list of kinds in the request and answers with everything, as before.

--- a/feed/exchange.go
+++ b/feed/exchange.go
@@ -42,6 +42,9 @@
 	response = &wire.Followed{AgeMillis: f.Age().Milliseconds(), Era: f.Era()}
 	bytesLeft := responseBytesMax
 	for _, kind := range kinds {
+		if len(request.Kinds) > 0 && !slices.Contains(request.Kinds, kind) {
+			continue
+		}
 		after := platform.NewPosition(request.Eras[kind], request.After[kind])
 		objects, position, whole, loaded := f.mirrors[kind].changesSince(after)
 		if !loaded || (len(objects) == 0 && !whole && position.Compare(after) <= 0) {
@@ -152,9 +155,10 @@
 	return objects, errors.Wrap(err, "decompress a list of objects")
 }
 
-// followRequest makes a request for the changes that this copy lacks.
-func (f *Feed) followRequest(maxWait time.Duration) *wire.Follow {
-	request := &wire.Follow{After: make(map[string]uint64, len(kinds)), Eras: make(map[string]uint64, len(kinds)), WaitMillis: maxWait.Milliseconds()}
+// followRequest makes a request for the changes that this copy lacks, of the given
+// kinds or of all.
+func (f *Feed) followRequest(maxWait time.Duration, only ...string) *wire.Follow {
+	request := &wire.Follow{After: make(map[string]uint64, len(kinds)), Eras: make(map[string]uint64, len(kinds)), WaitMillis: maxWait.Milliseconds(), Kinds: only}
 	for _, kind := range kinds {
 		position := f.mirrors[kind].position()
 		request.After[kind], request.Eras[kind] = position.Revision(), position.Era()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -34,9 +34,13 @@
 	// Live returns the live instances of this availability zone, this one
 	// included, ordered by name.
 	Live() []place.Instance
+	// InZone returns the other registered instances of this availability zone,
+	// whether or not they are live.
+	InZone() []place.Instance
 	// OtherZones returns the known instances of other availability zones.
 	OtherZones() []place.Instance
-	// Resolve returns the instances that answer at the addresses.
+	// Resolve returns the instances that answer at the addresses, the nearest
+	// first.
 	Resolve(ctx context.Context, addresses []string) []place.Instance
 	// SetInstances sets the instances that are registered at the platform.
 	SetInstances(instances []platform.Instance)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -69,6 +69,7 @@
 }
 
 func (z *fakePeers) Live() []place.Instance           { return z.live }
+func (z *fakePeers) InZone() []place.Instance         { return nil }
 func (z *fakePeers) OtherZones() []place.Instance     { return z.others }
 func (z *fakePeers) SetInstances([]platform.Instance) {}
 
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -8,11 +8,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
-// join requests the data of a seed, so that a new process need not read
+// join requests the data of other instances, so that a new process need not read
 // everything from the store. It repeats that until joinTime is over or another
 // instance of the zone is live, which may already watch the store. Seeds don't
 // join, so that they don't wait for one another.
@@ -26,17 +27,42 @@
 		if len(seeds) == 0 {
 			seeds = f.peers.Resolve(ctx, f.seeds)
 		}
-		for _, seed := range seeds {
-			if f.pullChanges(ctx, seed, 0, peerAgeMax) == nil {
-				break
-			}
+		if !f.Ready() {
+			f.pullFromFirst(ctx, seeds, platform.KindInstances)
+			f.pullFromZone(ctx)
 		}
+		f.pullFromFirst(ctx, seeds)
 		if !wait.Sleep(ctx, joinPause) {
 			return
 		}
 	}
 }
 
+// pullFromFirst requests the changes of the given kinds, or of all, from the first
+// of the instances that answers.
+func (f *Feed) pullFromFirst(ctx context.Context, peers []place.Instance, only ...string) {
+	for _, peer := range peers {
+		if f.pullChanges(ctx, peer, 0, peerAgeMax, only...) == nil {
+			return
+		}
+	}
+}
+
+// pullFromZone requests all data from an instance of this zone. The lists of a
+// large fleet are long, and while many processes start, those that the few seeds
+// would send to other zones and regions take up their links.
+func (f *Feed) pullFromZone(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinZoneTime)
+	defer cancel()
+	near := f.peers.InZone()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	for _, peer := range near[:min(len(near), joinZonePeers)] {
+		if f.pullChanges(ctx, peer, 0, peerAgeMax) == nil && f.Ready() {
+			return
+		}
+	}
+}
+
 // followPeer follows an instance until a call fails or another instance becomes
 // the watcher. It returns the error of the call, nil in the other case.
 func (f *Feed) followPeer(ctx context.Context, peer place.Instance) error {
@@ -50,10 +76,10 @@
 	return nil
 }
 
-// pullChanges requests the changes from an instance once, and applies them if
-// its data is recent enough.
-func (f *Feed) pullChanges(ctx context.Context, peer place.Instance, maxWait, ageMax time.Duration) error {
-	response, request, err := f.callFollow(ctx, peer, maxWait)
+// pullChanges requests the changes of the given kinds, or of all, from an instance
+// once, and applies them if its data is recent enough.
+func (f *Feed) pullChanges(ctx context.Context, peer place.Instance, maxWait, ageMax time.Duration, only ...string) error {
+	response, request, err := f.callFollow(ctx, peer, maxWait, only...)
 	if err != nil {
 		return err
 	}
@@ -72,10 +98,10 @@
 
 // callFollow sends an instance a request for changes and returns its response
 // and the request.
-func (f *Feed) callFollow(ctx context.Context, peer place.Instance, maxWait time.Duration) (*wire.Followed, *wire.Follow, error) {
+func (f *Feed) callFollow(ctx context.Context, peer place.Instance, maxWait time.Duration, only ...string) (*wire.Followed, *wire.Follow, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+followTimeout-followWait)
 	defer cancel()
-	request := f.followRequest(maxWait)
+	request := f.followRequest(maxWait, only...)
 	message, err := f.peers.Call(ctx, peer, request)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "request changes from an instance")
--- a/feed/source.go
+++ b/feed/source.go
@@ -67,6 +67,10 @@
 	// between two requests.
 	joinTime  = 1500 * time.Millisecond
 	joinPause = 200 * time.Millisecond
+	// joinZoneTime limits a request for data to instances of the own zone, of which
+	// joinZonePeers are asked, by a process that starts.
+	joinZoneTime  = 300 * time.Millisecond
+	joinZonePeers = 2
 	// fallbackInterval is the time between two rounds of requests to other
 	// instances while the store doesn't answer.
 	fallbackInterval = 250 * time.Millisecond
--- a/peers/instances.go
+++ b/peers/instances.go
@@ -1,8 +1,10 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -29,8 +31,14 @@
 
 	mu        sync.Mutex
 	instances map[place.Instance]registration
-	// seeds holds the addresses of the instances that Resolve discovered.
-	seeds map[place.Instance]string
+	// seeds holds the instances that Resolve discovered.
+	seeds map[place.Instance]seed
+}
+
+// seed is an instance whose address is in the settings.
+type seed struct {
+	address string
+	zone    place.Zone
 }
 
 // registration is a registered instance and when this process learned of it.
@@ -43,7 +51,7 @@
 func NewInstances(self wire.Hello, pool *Pool, heartbeats *Heartbeats, now func() time.Time) *Instances {
 	return &Instances{
 		self: self, pool: pool, heartbeats: heartbeats, now: now,
-		instances: map[place.Instance]registration{}, seeds: map[place.Instance]string{},
+		instances: map[place.Instance]registration{}, seeds: map[place.Instance]seed{},
 	}
 }
 
@@ -60,7 +68,7 @@
 	defer m.mu.Unlock()
 	before := m.instances
 	m.instances = make(map[place.Instance]registration, len(instances))
-	addresses := maps.Clone(m.seeds)
+	addresses := m.seedAddresses()
 	var zonePeers []place.Instance
 	for _, i := range instances {
 		if i.Name() == m.self.Instance {
@@ -81,15 +89,15 @@
 }
 
 // Resolve discovers the instances at the given addresses, which the settings
-// list as seeds. It returns all instances that it has discovered so far, which
-// can be called from then on.
+// list as seeds. It returns all instances that it has discovered so far, the
+// nearest first, which can be called from then on.
 func (m *Instances) Resolve(ctx context.Context, addresses []string) []place.Instance {
 	var tasks conc.WaitGroup
 	for _, address := range addresses {
 		tasks.Go(func() {
 			if hello, err := m.pool.Discover(ctx, address); err == nil && hello.Instance != m.self.Instance {
 				m.mu.Lock()
-				m.seeds[hello.Instance] = address
+				m.seeds[hello.Instance] = seed{address: address, zone: hello.Zone}
 				m.mu.Unlock()
 			}
 		})
@@ -97,12 +105,45 @@
 	tasks.Wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := maps.Clone(m.seeds)
+	known := m.seedAddresses()
 	for name, i := range m.instances {
 		known[name] = i.instance.Peers()
 	}
 	m.pool.SetAddresses(known)
-	return slices.Collect(maps.Keys(m.seeds))
+	return m.nearestSeeds()
+}
+
+// seedAddresses returns the addresses of the seeds. The caller holds m.mu.
+func (m *Instances) seedAddresses() map[place.Instance]string {
+	addresses := make(map[place.Instance]string, len(m.seeds))
+	for name, s := range m.seeds {
+		addresses[name] = s.address
+	}
+	return addresses
+}
+
+// nearestSeeds returns the seeds: those of this availability zone first, then those
+// of the region, then the others, each group in random order. The caller holds
+// m.mu.
+func (m *Instances) nearestSeeds() []place.Instance {
+	names := slices.Collect(maps.Keys(m.seeds))
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	slices.SortStableFunc(names, func(a, b place.Instance) int {
+		return cmp.Compare(m.distance(m.seeds[a].zone), m.distance(m.seeds[b].zone))
+	})
+	return names
+}
+
+// distance returns 0 for this availability zone, 1 for others of the region and 2
+// for other regions.
+func (m *Instances) distance(zone place.Zone) int {
+	switch {
+	case zone == m.self.Zone:
+		return 0
+	case zone.Region() == m.self.Zone.Region():
+		return 1
+	}
+	return 2
 }
 
 // Live returns the instances of this availability zone that respond to heartbeats
@@ -148,6 +189,12 @@
 	return addresses
 }
 
+// InZone returns the other registered instances of this availability zone, whether
+// or not they are live.
+func (m *Instances) InZone() []place.Instance {
+	return m.inZone(func(place.Instance, registration) bool { return true })
+}
+
 // OtherZones returns the registered instances of other availability zones, or the
 // seeds if there are none.
 func (m *Instances) OtherZones() []place.Instance {
@@ -157,7 +204,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.Collect(maps.Keys(m.seeds))
+	return m.nearestSeeds()
 }
 
 // Size returns how many instances are registered, including this one.
--- a/wire/follow.go
+++ b/wire/follow.go
@@ -24,6 +24,8 @@
 	// Eras holds the eras of the store that the revisions belong to.
 	Eras       map[string]uint64 `msgpack:"eras"`
 	WaitMillis int64             `msgpack:"wait_ms"`
+	// Kinds limits the answer to these kinds; empty means all kinds.
+	Kinds []string `msgpack:"kinds,omitempty"`
 }
 
 // FollowedObject is an object of the platform's store.
