Wait for a silent target until the deadline of a request that runs once

A network cut of over 1.2 s between an instance and a target ended the requests that ran there with 502, although the target went on with them and may have answered: TCP_USER_TIMEOUT closed the connection. Requests that may not be repeated now bear the silence until their deadline; others give up as before and are sent again, and so does every new connection, by which a machine that is gone is noticed.

TestAwaitsSilentTarget was red with the request's mark ignored.

--- a/entry/steer.go
+++ b/entry/steer.go
@@ -336,8 +336,12 @@
 		id = strconv.FormatUint(rand.Uint64(), 16)
 		headers = append(headers, sender.NewHeader(sender.HeaderRequestID, id))
 	}
-	return sender.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithHeadersAndBody(headers, r.body).WithPolicy(policy).
+	request := sender.NewRequest(r.method, r.path, r.deadline).WithKey(r.key).WithHeadersAndBody(headers, r.body).WithPolicy(policy).
 		WithOptionalEcho(sender.NewHeader(sender.HeaderRequestID, id))
+	if policy.NonIdempotent(r.method, r.pathWithoutQuery()) {
+		request = request.WithAwaitSilent()
+	}
+	return request
 }
 
 // outcomeOf returns the outcome of a request for its slot. Targets stop an
--- a/front/send.go
+++ b/front/send.go
@@ -134,6 +134,9 @@
 	client := s.clientFor(m)
 	request := platform.NewRequest(q.http, q.body, q.head.ID(), m.Target(), q.answerDeadline, answerBytesMax)
 	request = request.WithOverflow(q.share, func(head sender.Answer) (io.Writer, error) { return s.startStream(w, q, head) })
+	if !q.route.Idempotent() {
+		request = request.WithAwaitSilent()
+	}
 	answer, err := client.Do(ctx, request)
 	if err == nil {
 		if problem := platform.CheckResponse(answer); problem != nil {
--- a/sender/client.go
+++ b/sender/client.go
@@ -162,6 +162,26 @@
 	return n, err //nolint:wrapcheck // refusalFor classifies and wraps it
 }
 
+// prepare sets the limits of a request on the connection.
+func (p *pooledConn) prepare(r Request, deadline time.Time) error {
+	if r.awaitSilent {
+		if err := socket.SetUserTimeout(p.conn, time.Until(deadline)); err != nil {
+			return errors.Wrap(err, "prepare the connection")
+		}
+	}
+	return errors.Wrap(p.conn.SetDeadline(deadline), "set the deadline")
+}
+
+// reset removes the limits of a request from the connection.
+func (p *pooledConn) reset(r Request) error {
+	if r.awaitSilent {
+		if err := socket.SetUserTimeout(p.conn, socket.UserTimeout); err != nil {
+			return errors.Wrap(err, "reset the connection")
+		}
+	}
+	return errors.Wrap(p.conn.SetDeadline(time.Time{}), "remove the deadline")
+}
+
 // acquire takes a connection from the pool or opens one. It discards pooled
 // connections that the target has closed or is about to close; nothing has been
 // written to them for this request.
@@ -207,7 +227,7 @@
 func (c *Client) exchange(ctx context.Context, p *pooledConn, r Request, deadline time.Time) (Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
 	answer, reusable, err := c.roundTrip(p, r, deadline)
-	if stop() && reusable && err == nil && p.conn.SetDeadline(time.Time{}) == nil {
+	if stop() && reusable && err == nil && p.reset(r) == nil {
 		p.release()
 	} else {
 		p.discard()
@@ -222,8 +242,8 @@
 }
 
 func (c *Client) roundTrip(p *pooledConn, r Request, deadline time.Time) (Answer, bool, error) {
-	if err := p.conn.SetDeadline(deadline); err != nil {
-		return Answer{}, false, errors.Wrap(err, "set the deadline")
+	if err := p.prepare(r, deadline); err != nil {
+		return Answer{}, false, err
 	}
 	written := make(chan error, 1)
 	if len(r.body) <= inlineBodyBytesMax {
--- a/sender/request.go
+++ b/sender/request.go
@@ -52,6 +52,7 @@
 	closeDelimited bool
 	share          *hold.Share
 	overflow       OverflowFunc
+	awaitSilent    bool
 }
 
 // NewRequest returns a Request. path includes the query string and begins with
@@ -148,6 +149,15 @@
 // zero time if only the context and the default bound it.
 func (r Request) Deadline() time.Time { return r.deadline }
 
+// WithAwaitSilent returns a copy for a request that must not be sent again. Until
+// its deadline it waits for a target that acknowledges nothing: after a network cut
+// the target may still be at work and answer. Other requests give up on it after
+// socket.UserTimeout.
+func (r Request) WithAwaitSilent() Request {
+	r.awaitSilent = true
+	return r
+}
+
 // validate rejects a path or method that would allow request smuggling.
 func (r Request) validate() error {
 	if !strings.HasPrefix(r.path, "/") || !isPrintable(r.path) {
--- a/socket/dial.go
+++ b/socket/dial.go
@@ -41,15 +41,34 @@
 			Enable: true, Idle: ProbeIdle, Interval: ProbeInterval, Count: ProbeCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(UserTimeout.Milliseconds()))
-			})
-			return errors.Wrap(errors.CombineErrors(err, optionErr), "set TCP_USER_TIMEOUT")
+			return setUserTimeout(raw, UserTimeout)
 		},
 	}
 }
 
+// SetUserTimeout changes how long data that is sent on the connection may remain
+// unacknowledged, and probes unanswered, before the kernel closes it. It does
+// nothing for a connection that isn't a TCP connection.
+func SetUserTimeout(conn net.Conn, timeout time.Duration) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+	}
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+	})
+	return errors.Wrap(errors.CombineErrors(err, optionErr), "set TCP_USER_TIMEOUT")
+}
+
 // Dial opens a TCP connection with a Dialer. timeout bounds the dial in addition
 // to ctx.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
