Tell the instances of a zone which targets announced that they leave

A target that announces in an answer that it leaves was out of use at the instance that got the answer only. Another instance of the zone, and a process of the same instance that started afterwards, used it until the platform's list said so.

Heartbeats within the zone now name up to 32 such processes that are still in the list without that mark. A process is known by its target and start, so a later process of the target is used. What the other zones learn is unchanged (docs/PLATFORM.md, known limits).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -362,6 +362,14 @@
 	return true
 }
 
+// LeavingListed returns at most limit processes of targets that announced that they
+// leave and are still in the platform's list, the last ones first.
+func (f *Feed) LeavingListed(limit int) []fleet.Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.LeavingListed(limit)
+}
+
 // Leaving returns the number of processes of targets that are known to leave,
 // whatever the platform's list says.
 func (f *Feed) Leaving() int {
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -92,6 +93,21 @@
 	return !known
 }
 
+// LeavingListed returns at most limit processes that are known to leave although
+// the platform's list doesn't say so, the last ones first.
+func (b *Registry) LeavingListed(limit int) []Process {
+	var listed []Process
+	for process := range b.leaving {
+		if r, found := b.records[process.Target()]; found && r.report.Process() == process && !r.report.Leaving {
+			listed = append(listed, process)
+		}
+	}
+	slices.SortFunc(listed, func(x, y Process) int {
+		return cmp.Or(b.leaving[y].Compare(b.leaving[x]), strings.Compare(string(x.Target()), string(y.Target())))
+	})
+	return listed[:min(len(listed), limit)]
+}
+
 // Leaving returns the number of processes that are known to leave, whatever the
 // list says.
 func (b *Registry) Leaving() int { return len(b.leaving) }
--- a/front/notice_test.go
+++ b/front/notice_test.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/platform/fakes"
+	"github.com/endivechute/endivechute/wire"
 )
 
 // arrivals records when requests reach a target.
@@ -250,3 +251,29 @@
 		})
 	}
 }
+
+// TestHeardLeaving has another instance of the zone tell that a target announced
+// that it leaves. That process must get no more requests, and a process of the same
+// target that started later is used.
+func TestHeardLeaving(t *testing.T) {
+	tests := map[string]struct {
+		born int64
+		used bool
+	}{
+		"its process":    {1, false},
+		"an earlier one": {0, true},
+		"a later one":    {2, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t)
+			w.server.Handle(t.Context(), wire.Hello{Instance: "other"}, &wire.Heartbeat{
+				Instance: "other", Left: []wire.LeavingTarget{{Target: "t1", Born: test.born}, {Target: "unknown", Born: 1}},
+			})
+			w.doMany(t, "a", 40)
+			if used := w.targets[0].Total() > 0; used != test.used {
+				t.Errorf("the target is used: %v, want %v", used, test.used)
+			}
+		})
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -86,7 +86,7 @@
 	s.feed = feed.New(settings, s.store, instances, now, logs.ForComponent(log, "feed"))
 	s.chooser = pick.New(settings.Zone(), s.coldLimiter, pace.NewRegionLimiter(settings.Bounds().ShiftMax()))
 	s.feed.OnView(s.onViewChange)
-	heartbeats.SetSlowTargets(s.slowTargets)
+	heartbeats.SetNotices(s.addNotices)
 	return s
 }
 
@@ -137,7 +137,7 @@
 func (s *Server) Handle(ctx context.Context, _ wire.Hello, message wire.Message) wire.Message {
 	switch m := message.(type) {
 	case *wire.Heartbeat:
-		s.observe(m.Slow)
+		s.takeNotices(m)
 		ack := s.heartbeats.Ack()
 		ack.Leaving = !s.Ready()
 		return ack
--- a/front/share.go
+++ b/front/share.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -9,6 +11,30 @@
 // 1.5 KB.
 const slowTargetsMax = 32
 
+// leavingTargetsMax limits the leaving targets in a heartbeat.
+const leavingTargetsMax = 32
+
+// addNotices adds to a heartbeat what it tells the other instances of the zone of
+// targets. Processes that start learn from it which targets announced that they
+// leave before.
+func (s *Server) addNotices(heartbeat *wire.Heartbeat) {
+	heartbeat.Slow = s.slowTargets()
+	for _, process := range s.feed.LeavingListed(leavingTargetsMax) {
+		heartbeat.Left = append(heartbeat.Left, wire.LeavingTarget{Target: process.Target(), Born: process.Born()})
+	}
+}
+
+// takeNotices takes in what another instance's heartbeat tells of targets.
+func (s *Server) takeNotices(heartbeat *wire.Heartbeat) {
+	s.observe(heartbeat.Slow)
+	for _, left := range heartbeat.Left {
+		m, found := s.feed.View().Member(left.Target)
+		if found && m.Process().Born() == left.Born && s.feed.MarkLeaving(m.Process()) {
+			s.log.WithFields(logrus.Fields{fieldTarget: left.Target, "peer": heartbeat.Instance}).Info("Another instance tells that a target leaves.")
+		}
+	}
+}
+
 // slowTargets returns what a heartbeat tells the other instances of the zone about
 // slow targets.
 func (s *Server) slowTargets() []wire.SlowTarget {
--- a/peers/heartbeats.go
+++ b/peers/heartbeats.go
@@ -58,9 +58,8 @@
 	leaving atomic.Bool
 	peers   atomic.Pointer[[]place.Instance]
 	health  atomic.Pointer[map[place.Instance]Health]
-	// slowTargets, if set, returns the slow targets that a round of heartbeats
-	// tells of.
-	slowTargets func() []wire.SlowTarget
+	// addNotices, if set, adds to a round of heartbeats what it tells of targets.
+	addNotices func(*wire.Heartbeat)
 }
 
 // NewHeartbeats returns Heartbeats without peers.
@@ -77,9 +76,9 @@
 // SetLeaving makes all further heartbeats say that this process is about to stop.
 func (h *Heartbeats) SetLeaving() { h.leaving.Store(true) }
 
-// SetSlowTargets sets the source of the slow targets that each round of heartbeats
-// tells of. It must be called before Run.
-func (h *Heartbeats) SetSlowTargets(source func() []wire.SlowTarget) { h.slowTargets = source }
+// SetNotices sets the function that adds what each round of heartbeats tells of
+// targets. It must be called before Run.
+func (h *Heartbeats) SetNotices(add func(*wire.Heartbeat)) { h.addNotices = add }
 
 // Health returns the health of a peer, the zero value if it is unknown.
 func (h *Heartbeats) Health(instance place.Instance) Health { return (*h.health.Load())[instance] }
@@ -106,8 +105,8 @@
 	peers := *h.peers.Load()
 	results := make([]*Health, len(peers))
 	heartbeat := &wire.Heartbeat{Instance: h.self.Instance, Incarnation: h.self.Incarnation, Leaving: h.leaving.Load()}
-	if h.slowTargets != nil {
-		heartbeat.Slow = h.slowTargets()
+	if h.addNotices != nil {
+		h.addNotices(heartbeat)
 	}
 	var tasks conc.WaitGroup
 	for i, peer := range peers {
--- a/wire/message.go
+++ b/wire/message.go
@@ -110,6 +110,18 @@
 	Leaving     bool           `msgpack:"leaving"`
 	// Slow lists targets that the sender has found slow or unreachable.
 	Slow []SlowTarget `msgpack:"slow,omitempty"`
+	// Left lists targets that announced that they leave and are still in the
+	// platform's list.
+	Left []LeavingTarget `msgpack:"left,omitempty"`
+}
+
+// LeavingTarget is a target that announced that it leaves. Born is the start of its
+// process in Unix milliseconds.
+type LeavingTarget struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads the tag
+
+	Target place.Target
+	Born   int64
 }
 
 // SlowTarget is a target that an instance has found slow. Born is the start of
