--- a/feed/source.go
+++ b/feed/source.go
@@ -91,10 +91,9 @@
 	peer    place.Instance
 	heardAt time.Time
 	peerAge time.Duration
-	// failingSince is the time since which calls to the store fail. backoff is
-	// the upper limit of the pause before the next call.
-	failingSince time.Time
-	backoff      time.Duration
+	// backoff is the upper limit of the pause before the next call to the store,
+	// 0 while calls succeed.
+	backoff time.Duration
 }
 
 // Age returns how long ago the store confirmed the data of this process.
@@ -136,7 +135,7 @@
 	changed := s.peer != peer
 	s.unconfirmedSince, s.peer, s.heardAt, s.peerAge = time.Time{}, peer, now, age
 	if peer == "" {
-		s.failingSince, s.backoff = time.Time{}, 0
+		s.backoff = 0
 	}
 	s.mu.Unlock()
 	if since.IsZero() && !changed {
@@ -187,9 +186,6 @@
 func (f *Feed) recordFailure(err error) time.Duration {
 	s := &f.source
 	s.mu.Lock()
-	if s.failingSince.IsZero() {
-		s.failingSince = f.now()
-	}
 	s.backoff = min(max(2*s.backoff, backoffMin), backoffMax)
 	pause := s.backoff/2 + rand.N(s.backoff/2+1)
 	following := s.peer != ""
