--- a/front/send.go
+++ b/front/send.go
@@ -99,7 +99,7 @@
 		object = ""
 	}
 	attempt, err := s.chooser.Choose(s.feed.View().Members(service), pick.Query{
-		Service: service, Route: q.route.Name(), Object: object, Aim: q.route.Aim(), TimeLeft: q.deadline.Sub(now),
+		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: q.deadline.Sub(now),
 		Allowed: q.route.AllowedIn, Tried: t.tried, ColdShare: s.coldShare,
 	}, now)
 	return attempt, err //nolint:wrapcheck // a refusal needs no more context
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -23,14 +23,16 @@
 	defaultRegionRTT = 3 * time.Millisecond
 	defaultRemoteRTT = 40 * time.Millisecond
 	// maxWaitFactor times the difference between the aim and the service time is
-	// the longest time a request may queue, and minWaitFactor times the service
-	// time the least that it is taken for: while caches are empty, the service time
-	// of a hit is overestimated.
+	// the longest time that a request waits in a standing queue, and minWaitFactor
+	// times the service time the least that it is taken for: while caches are empty,
+	// the service time of a hit is overestimated.
 	maxWaitFactor = 1.0
 	minWaitFactor = 0.75
-	// crowdedLoad is the mean load per slot from which a service is crowded, as a
-	// multiple of the ratio between the service times of a hit and of a miss.
-	crowdedLoad = 1.5
+	// crowdedLoad is the mean load per slot from which a service is crowded.
+	crowdedLoad = 0.95
+	// costlyMissRatio is the ratio between the service times of a miss and of a hit
+	// from which misses displace hits.
+	costlyMissRatio = 1.5
 	// sampleSlowdownMax is the slowdown up to which the answers of a target
 	// count as samples of the service time.
 	sampleSlowdownMax = 1.5
@@ -39,9 +41,6 @@
 // Query describes a request that needs a target.
 type Query struct {
 	Service place.Service
-	// Route names the route of the request. Service times are estimated by route,
-	// because the routes of a service may need very different amounts of work.
-	Route string
 	// Object is the key of the object that the request concerns. It is empty if
 	// the object is unknown or if targets don't cache objects.
 	Object string
@@ -90,7 +89,6 @@
 	chooser      *Chooser
 	member       *fleet.Member
 	service      *serviceStats
-	route        *routeTimes
 	stats        *targetStats
 	object       uint64
 	keyed        bool
@@ -162,17 +160,17 @@
 func (c *Chooser) Choose(members []*fleet.Member, q Query, now time.Time) (*Attempt, error) {
 	s := c.serviceFor(q.Service, q.Aim)
 	o := objectOf(q, s, now)
-	route, times := s.timesOf(q.Route, q.Aim)
+	times := s.serviceTimes()
 	work := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(work)
 	if len(members) > shortlistMax {
 		c.shortlist(work, members, q, o)
-		if attempt, _ := c.chooseFrom(work, q, s, o, route, times, now); attempt != nil {
+		if attempt, _ := c.chooseFrom(work, q, s, o, times, now); attempt != nil {
 			return attempt, nil
 		}
 	}
 	c.listAll(work, members, q, o)
-	attempt, refusal := c.chooseFrom(work, q, s, o, route, times, now)
+	attempt, refusal := c.chooseFrom(work, q, s, o, times, now)
 	if attempt != nil {
 		return attempt, nil
 	}
@@ -187,7 +185,7 @@
 
 // chooseFrom returns an attempt at the best of the listed targets. If none can
 // take the request, it returns a refusal, nil if no target is eligible at all.
-func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, route *routeTimes, times ServiceTimes, now time.Time) (*Attempt, error) {
+func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, times ServiceTimes, now time.Time) (*Attempt, error) {
 	candidates := c.candidates(work, q, s, o, times, now)
 	if len(candidates) == 0 {
 		return nil, nil //nolint:nilnil // documented
@@ -203,16 +201,16 @@
 			continue
 		}
 		c.regionLimiter.Count(chosen.Distance == OtherRegion, now)
-		return c.send(chosen, estimate, s, route, o.hash, q, now), nil
+		return c.send(chosen, estimate, s, o.hash, q, now), nil
 	}
 }
 
-func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, route *routeTimes, object uint64, q Query, now time.Time) *Attempt {
+func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, object uint64, q Query, now time.Time) *Attempt {
 	c.mu.Lock()
 	l := c.statsFor(chosen.Member, s, now)
 	c.mu.Unlock()
 	attempt := &Attempt{
-		chooser: c, member: chosen.Member, service: s, route: route, stats: l, object: object, keyed: q.Object != "",
+		chooser: c, member: chosen.Member, service: s, stats: l, object: object, keyed: q.Object != "",
 		likelyCached: chosen.LikelyCached, at: now, estimate: estimate,
 		distance: chosen.Distance, load: chosen.Load, expected: estimate.nominal,
 		sampled: estimate.Wait == 0 && !chosen.Cold && chosen.Slowdown < sampleSlowdownMax && (chosen.LikelyCached || chosen.Rank > 0),
@@ -279,7 +277,7 @@
 	return e.Wait == 0 || !x.Standing
 }
 
-// maxWait returns how long a request may queue at a target.
+// maxWait returns how long a request may wait in a standing queue.
 func maxWait(aim time.Duration, times ServiceTimes) time.Duration {
 	return time.Duration(max(maxWaitFactor*float64(aim-times.Hit), minWaitFactor*float64(times.Hit)))
 }
@@ -356,10 +354,10 @@
 }
 
 // crowded reports whether a service with the mean load per target has no room for
-// requests that miss the cache. The longer a miss takes compared with a hit, the
-// more hits it displaces.
+// requests that miss the cache. Where a miss takes hardly longer than a hit, any
+// free slot is as good as another.
 func crowded(meanLoad float64, slots int, times ServiceTimes) bool {
-	return meanLoad*float64(times.Miss) >= crowdedLoad*float64(times.Hit)*float64(slots)
+	return float64(times.Miss) >= costlyMissRatio*float64(times.Hit) && meanLoad >= crowdedLoad*float64(slots)
 }
 
 func (c *Chooser) distance(zone place.Zone) Distance {
@@ -400,7 +398,7 @@
 		l.updateFailureRate(0)
 		l.observeDuration(took, a.expected)
 		if a.sampled {
-			a.service.observeServiceTime(a.route, took-l.rtt, a.likelyCached)
+			a.service.observeServiceTime(took-l.rtt, a.likelyCached)
 		}
 	case Rejected:
 		l.consecutiveBreaks = 0
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -184,19 +184,38 @@
 type serviceStats struct {
 	objects *objectTable
 
-	mu     sync.Mutex
-	routes map[string]*routeTimes
-	// queued is the mean service time of a cache hit over all routes, which is
-	// how long a request waits for each one before it.
-	queued time.Duration
+	mu    sync.Mutex
+	times ServiceTimes
 	// meanLoad is the moving average of the load from other entries in the load
 	// reports of all targets, and meanLoadAt the time of the last report.
 	meanLoad   float64
 	meanLoadAt time.Time
 }
 
+// The initial service times of a service, as factors of the aim of its route.
+const (
+	initialHitFactor  = 0.5
+	initialMissFactor = 1.3
+)
+
 func newServiceStats(aim time.Duration) *serviceStats {
-	return &serviceStats{routes: map[string]*routeTimes{}, queued: initialTimes(aim).Hit, objects: newObjectTable()}
+	return &serviceStats{
+		times:   ServiceTimes{Hit: time.Duration(initialHitFactor * float64(aim)), Miss: time.Duration(initialMissFactor * float64(aim))},
+		objects: newObjectTable(),
+	}
+}
+
+// observeServiceTime updates the service time for cache hits or misses from a
+// request that didn't queue. likelyCached says whether it hit the cache.
+func (s *serviceStats) observeServiceTime(took time.Duration, likelyCached bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	average := &s.times.Miss
+	if likelyCached {
+		average = &s.times.Hit
+	}
+	*average += time.Duration(serviceTimeGain * float64(took-*average))
+	s.times.Miss = max(s.times.Miss, s.times.Hit)
 }
 
 // observeLoad updates the mean load from the load that other entries cause at
@@ -213,3 +232,9 @@
 	defer s.mu.Unlock()
 	return s.meanLoad * math.Exp2(-now.Sub(s.meanLoadAt).Seconds()/meanLoadHalfLife.Seconds())
 }
+
+func (s *serviceStats) serviceTimes() ServiceTimes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times
+}
--- a/pick/score.go
+++ b/pick/score.go
@@ -57,13 +57,20 @@
 	// Standing is true if the target has a standing queue: one that has exceeded
 	// the longest acceptable wait for a while.
 	Standing bool
-	// Crowded is true if the target's service has no room for requests that miss
-	// the cache.
-	Crowded bool
 	// Unreachable is true if the target was found unreachable.
 	Unreachable bool
 	// Paused is true if the target asked this entry to send nothing for a while.
 	Paused bool
+	// Crowded is true if the target's service has no room for requests that miss the
+	// cache.
+	Crowded bool
+}
+
+// ServiceTimes holds the service times of a service: how long its targets work
+// on a request, without queueing.
+type ServiceTimes struct {
+	// Hit is the service time if the target has the object cached, Miss if not.
+	Hit, Miss time.Duration
 }
 
 // The weights of the score. Costs are multiples of a service's mean service time
@@ -123,7 +130,7 @@
 	if c.Cold {
 		slowdown = max(slowdown, coldSlow)
 	}
-	wait := max(c.Load+1-slots, 0) / slots * float64(times.Queued)
+	wait := max(c.Load+1-slots, 0) / slots * float64(times.Hit)
 	nominal := float64(c.RTT) + wait + serviceTime
 	wait *= slowdown
 	total := float64(c.RTT) + wait + serviceTime*slowdown
