--- a/keeper/lease.go
+++ b/keeper/lease.go
@@ -365,9 +365,10 @@
 	return slices.Index(s.electors, from) < slices.Index(s.electors, l.self)
 }
 
-// relinquish gives up this entry's own grant and its lease; grants that were requested up to now
-// no longer count. The ledger goes to the next entry that gets the lease within
-// LeaseTime. After that another keeper may have sent requests in the meantime.
+// relinquish gives up this entry's own grant and its lease; grants that were
+// requested up to now no longer count. The ledger goes to the next entry that gets
+// the lease within LeaseTime. After that another keeper may have sent requests in
+// the meantime.
 func (s *resourceState) relinquish(now time.Duration) {
 	if s.lease.Held(now) {
 		s.handoverUntil = now + LeaseTime
@@ -398,8 +399,8 @@
 }
 
 // HandleAck counts the leases that an elector granted. Their time runs from
-// when the heartbeat was sent. An answer to a heartbeat that was
-// sent after a lease was given up acknowledges the release.
+// when the heartbeat was sent. An answer to a heartbeat that was sent after a lease
+// was given up acknowledges the release.
 func (l *Leases) HandleAck(from place.Instance, ack HeartbeatReply, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
