--- a/entry/steer.go
+++ b/entry/steer.go
@@ -79,11 +79,8 @@
 	if r.hops > 0 || refusal.Verdict() != errs.VerdictNotRun || r.deadline.Sub(e.now()) < 2*keeperRetryDelay {
 		return false
 	}
-	switch refusal.Reason() {
-	case errs.ReasonLostKeeper, errs.ReasonPeerFailed, errs.ReasonNotReady:
-		return true
-	}
-	return false
+	reasons := []errs.Reason{errs.ReasonLostKeeper, errs.ReasonPeerFailed, errs.ReasonNotReady}
+	return slices.Contains(reasons, refusal.Reason())
 }
 
 // routeOnce tries each availability zone once. The error is that of the last zone
--- a/peers/instances_test.go
+++ b/peers/instances_test.go
@@ -22,7 +22,7 @@
 // the settings.
 func TestResolveNearestFirst(t *testing.T) {
 	zones := map[place.Instance]place.Zone{"far": "west/a", "near": "east/b", "same": "east/a", "farther": "north/a"}
-	var addresses []string
+	addresses := make([]string, 0, len(zones))
 	for instance, zone := range zones {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
