--- a/front/note.go
+++ b/front/note.go
@@ -21,8 +21,11 @@
 	fieldOutcome = "outcome"
 )
 
-// fieldTarget is the log field for the name of a target.
-const fieldTarget = "target"
+// Log fields for the name of a target and of its service.
+const (
+	fieldTarget  = "target"
+	fieldService = "service"
+)
 
 // Values of the answer in the log and the metrics, beside a target's status.
 const (
@@ -99,7 +102,7 @@
 	}
 	fields := s.logFields(q, now)
 	fields[fieldTarget] = attempt.Member().Target()
-	fields["service"] = attempt.Member().Service()
+	fields[fieldService] = attempt.Member().Service()
 	fields[fieldOutcome] = name
 	fields["distance"] = distanceName(attempt.Distance())
 	fields["load"] = attempt.Load()
--- a/front/send.go
+++ b/front/send.go
@@ -160,7 +160,7 @@
 	leaving, err := platform.ReadLeaving(answer)
 	if leaving && s.feed.MarkLeaving(m.Process()) {
 		s.stats.leaving.Inc()
-		s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "service": m.Service()}).Info("A target announced that it leaves.")
+		s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service()}).Info("A target announced that it leaves.")
 	}
 	s.reportHeader(m, err, now)
 	pause, err := platform.ReadPause(answer)
@@ -169,7 +169,15 @@
 		s.chooser.Pause(m.Process(), pause, now)
 		s.stats.pauses.Inc()
 		if s.logQuota.Allow(logs.ClassRefused, now) {
-			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "service": m.Service(), "pause_ms": pause.Milliseconds()}).Info("A target asked for a pause.")
+			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service(), "pause_ms": pause.Milliseconds()}).Info("A target asked for a pause.")
+		}
+	}
+	perSecond, limited, err := platform.ReadLimit(answer)
+	s.reportHeader(m, err, now)
+	if limited {
+		s.stats.limited.Inc()
+		if s.logQuota.Allow(logs.ClassRefused, now) {
+			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service(), "per_second": perSecond}).Info("A target named a limit.")
 		}
 	}
 }
--- a/front/stats.go
+++ b/front/stats.go
@@ -20,6 +20,7 @@
 	streamed        prometheus.Counter
 	leaving         prometheus.Counter
 	pauses          prometheus.Counter
+	limited         prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -64,7 +65,10 @@
 	s.pauses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_pauses_total", Help: "Rejections with which a target asked for a pause.",
 	})
-	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses)
+	s.limited = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivechute_limited_answers_total", Help: "Answers in which a target named a limit on its requests.",
+	})
+	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited)
 	return s
 }
 
