Keep the requests of all instances within the limit that a target names

pace.RateLimiter divides a limit among the registered instances, which needs no message, and holds in a zone that is cut off. As many instances as may send a request at the same moment have a token bucket; in a fleet of hundreds the others only send a trickle. The instances of a zone tell one another in their heartbeats what they observed in the last 1.5 s, at most 32 limits, so that new processes know limits and all learn of their end. The newest observation counts. An invalid header changes nothing; an answer that lacks the header ends a limit only if its request was sent after the limit was last named. What doesn't fit goes to other targets, whose ranks move up; if all targets are limited, requests are refused at once.

Tried before: slots of equal entries by the time of day, which jumps (TestNoWallClock forbids it), and slots at random times, with which 300 instances exceeded a limit of 2 a second in 1 of 60 runs of TestFleetKeepsLimit (18 requests in 4 s, 17 allowed) and used a twelfth of a limit of 12 at 35 requests a second.

TestFleetKeepsLimit passes 260 times with 1 to 1,000 instances.

--- a/front/limit_test.go
+++ b/front/limit_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,7 @@
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/platform/fakes"
+	"github.com/endivechute/endivechute/wire"
 )
 
 // testInstance is one of several running instances.
@@ -187,3 +190,126 @@
 		t.Errorf("%d requests in the second second after the limit went, want %d or more", n, 2*limit)
 	}
 }
+
+// TestLimitHeader has targets name limits that are valid or not. What is invalid
+// neither sets a limit nor ends one.
+func TestLimitHeader(t *testing.T) {
+	tests := map[string]struct {
+		first, then string
+		// want is the limit in the end, -1 for none.
+		want float64
+	}{
+		"a number":          {"12.5", "12.5", 12.5},
+		"none":              {"", "", -1},
+		"spaces around it":  {"  7 ", " 7 ", 7},
+		"zero":              {"0", "0", 0},
+		"an exponent":       {"1e2", "1e2", 100},
+		"lowered":           {"12.5", "3", 3},
+		"gone":              {"12.5", "", -1},
+		"negative":          {"-1", "-1", -1},
+		"text":              {"soon", "soon", -1},
+		"NaN":               {"NaN", "NaN", -1},
+		"hexadecimal":       {"0x10", "0x10", -1},
+		"a unit":            {"5/s", "5/s", -1},
+		"two numbers":       {"5, 6", "5, 6", -1},
+		"infinite":          {"Inf", "Inf", -1},
+		"beyond numbers":    {"1e999", "1e999", 1e6},
+		"far too high":      {"1e9", "1e9", 1e6},
+		"negative later":    {"12.5", "-1", 12.5},
+		"text later":        {"12.5", "soon", 12.5},
+		"a long text later": {"12.5", strings.Repeat("9", 4000) + "x", 12.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestEnv(t)
+			value := test.first
+			w.handleAll(func(_ *fakes.Target, rw http.ResponseWriter, _ *http.Request) bool {
+				if value != "" {
+					rw.Header().Set("Server-Limit", value)
+				}
+				return false
+			})
+			w.do(t, "POST", "/write/x", "r1")
+			value = test.then
+			// The target gets another request as soon as its limit allows one.
+			target := w.targets[0]
+			if target.Total() == 0 {
+				target = w.targets[1]
+			}
+			eventually(t, 3*time.Second, "a second request", func() bool {
+				w.do(t, "POST", "/write/x", "r2")
+				return target.Total() > 1 || test.first == "0"
+			})
+			got := -1.0
+			for _, state := range w.server.Dump().Targets {
+				if state.Limit != nil {
+					got = *state.Limit
+				}
+			}
+			if got != test.want {
+				t.Errorf("the limit is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestHeardLimit has another instance of the zone tell of a limit, which then counts
+// as if the target had named it to this one.
+func TestHeardLimit(t *testing.T) {
+	tests := map[string]struct {
+		heard wire.TargetLimit
+		kept  bool
+	}{
+		"its process":     {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: 1, Named: true}, true},
+		"an earlier one":  {wire.TargetLimit{Target: "t1", Born: 0, PerSecond: 1, Named: true}, false},
+		"an unknown one":  {wire.TargetLimit{Target: "t9", Born: 1, PerSecond: 1, Named: true}, false},
+		"a negative one":  {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: -1, Named: true}, false},
+		"not a number":    {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: math.NaN(), Named: true}, false},
+		"end of a limit":  {wire.TargetLimit{Target: "t1", Born: 1}, false},
+		"an old one, 9 s": {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: 1, Named: true, AgeMillis: 9000}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t)
+			limited := newNamedLimit(w.targets[0])
+			if test.kept {
+				limited.set("1")
+			}
+			w.server.Handle(t.Context(), wire.Hello{Instance: "other"}, &wire.Heartbeat{Instance: "other", Limits: []wire.TargetLimit{test.heard}})
+			began := time.Now()
+			sendAll(t, []testInstance{{server: w.server, address: w.address()}}, time.Second)
+			n := limited.reached.between(began, time.Now())
+			if kept := n <= 3; kept != test.kept {
+				t.Errorf("%d requests reach the target in a second, want the limit of 1 per second kept: %v", n, test.kept)
+			}
+		})
+	}
+}
+
+// TestAllNameLimits has all targets name a low limit. Requests beyond it must be
+// refused at once, and told to return at different times.
+func TestAllNameLimits(t *testing.T) {
+	w := newTestEnv(t)
+	w.handleAll(func(_ *fakes.Target, rw http.ResponseWriter, _ *http.Request) bool {
+		rw.Header().Set("Server-Limit", "0.5")
+		return false
+	})
+	w.doMany(t, "a", 10)
+	refused, times := 0, map[string]bool{}
+	for i := range 20 {
+		got := w.do(t, "POST", "/write/x", fmt.Sprintf("b%d", i))
+		if got.status == http.StatusOK {
+			continue
+		}
+		refused++
+		times[got.retryAfter] = true
+		seconds, err := strconv.ParseFloat(got.retryAfter, 64)
+		if got.status != http.StatusServiceUnavailable || err != nil || seconds <= 0 || seconds > 1.5 || got.took > 200*time.Millisecond {
+			t.Errorf("status %d after %v with Retry-After %q, want 503 at once and a time within 1.5 s", got.status, got.took, got.retryAfter)
+		}
+	}
+	if refused < 16 || len(times) < refused/2 {
+		t.Errorf("%d of 20 requests are refused, with %d different times to return; want 16 or more, at different times", refused, len(times))
+	}
+}
--- a/front/note.go
+++ b/front/note.go
@@ -27,6 +27,10 @@
 	fieldService = "service"
 )
 
+// fieldLimit is the log field for the limit that a target names, in requests per
+// second.
+const fieldLimit = "per_second"
+
 // Values of the answer in the log and the metrics, beside a target's status.
 const (
 	answerRefused = "refused"
--- a/front/probe.go
+++ b/front/probe.go
@@ -41,7 +41,8 @@
 	if !found {
 		return
 	}
-	answer, err := s.clientFor(m).Do(ctx, platform.NewProbe(service.HealthPath(), s.now().Add(probeTimeout)))
+	sent := s.now()
+	answer, err := s.clientFor(m).Do(ctx, platform.NewProbe(service.HealthPath(), sent.Add(probeTimeout)))
 	health := platform.ReadHealth(answer)
 	healthy := err == nil && health.Healthy() && health.Target() == m.Target()
 	outcome := "unwell"
@@ -54,7 +55,7 @@
 	s.stats.probes.WithLabelValues(outcome).Inc()
 	s.chooser.Probed(m, healthy)
 	if health.Target() == m.Target() {
-		s.observeTarget(m, answer, s.now())
+		s.observeTarget(m, answer, sent, s.now())
 	}
 	s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), "healthy": healthy, "cold": health.Cold(), "error": err}).Info("A target was probed.")
 }
--- a/front/send.go
+++ b/front/send.go
@@ -147,16 +147,17 @@
 	outcome := outcomeOf(answer, err)
 	attempt.Done(outcome, loadReport(answer), client.DialTime(), now)
 	if answer.Status() != http.StatusMisdirectedRequest {
-		s.observeTarget(m, answer, now)
+		s.observeTarget(m, answer, attempt.At(), now)
 	}
 	s.recordAttempt(q, attempt, outcome, answer, err, now)
 	return answer, err //nolint:wrapcheck // a refusal needs no more context
 }
 
 // observeTarget records what a target says about itself in an answer, a rejection
-// or a failure included: that its process leaves, or that it wants a pause. The
-// answer must not be from another target at the same address.
-func (s *Server) observeTarget(m *fleet.Member, answer sender.Answer, now time.Time) {
+// or a failure included: that its process leaves, that it wants a pause, or that it
+// names a limit on its requests. The answer must not be from another target at the
+// same address. sent is when the request was sent.
+func (s *Server) observeTarget(m *fleet.Member, answer sender.Answer, sent, now time.Time) {
 	leaving, err := platform.ReadLeaving(answer)
 	if leaving && s.feed.MarkLeaving(m.Process()) {
 		s.stats.leaving.Inc()
@@ -172,12 +173,25 @@
 			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service(), "pause_ms": pause.Milliseconds()}).Info("A target asked for a pause.")
 		}
 	}
-	perSecond, limited, err := platform.ReadLimit(answer)
+	s.observeLimit(m, answer, sent, now)
+}
+
+// observeLimit records whether a target names a limit in the answer to a request that
+// was sent at the given time. Only an answer that the target itself wrote ends a
+// limit; a limit that is invalid doesn't.
+func (s *Server) observeLimit(m *fleet.Member, answer sender.Answer, sent, now time.Time) {
+	perSecond, named, err := platform.ReadLimit(answer)
 	s.reportHeader(m, err, now)
-	if limited {
+	fields := logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service(), fieldLimit: perSecond}
+	switch {
+	case named:
 		s.stats.limited.Inc()
-		if s.logQuota.Allow(logs.ClassRefused, now) {
-			s.log.WithFields(logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service(), "per_second": perSecond}).Info("A target named a limit.")
+		if s.rateLimiter.Named(m.Process(), perSecond, now) && s.logQuota.Allow(logs.ClassRefused, now) {
+			s.log.WithFields(fields).Info("A target named a limit.")
+		}
+	case err == nil && platform.CheckResponse(answer) == nil:
+		if s.rateLimiter.Unnamed(m.Process(), sent, now) {
+			s.log.WithFields(fields).Info("A target names no limit any more.")
 		}
 	}
 }
--- a/front/server.go
+++ b/front/server.go
@@ -51,6 +51,7 @@
 	feed          *feed.Feed
 	chooser       *pick.Chooser
 	coldLimiter   *pace.ColdLimiter
+	rateLimiter   *pace.RateLimiter
 	held          *hold.Budget
 	targetClients *targetClients
 	logQuota      *logs.Quota
@@ -75,7 +76,7 @@
 	instances := peers.NewInstances(self, pool, heartbeats, now)
 	s := &Server{
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), targetClients: newTargetClients(), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
+		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
@@ -84,7 +85,7 @@
 		s.log.WithError(err).WithField("store", settings.Store()).Warn("The store's era is invalid; the last valid one still counts.")
 	})
 	s.feed = feed.New(settings, s.store, instances, now, logs.ForComponent(log, "feed"))
-	s.chooser = pick.New(settings.Zone(), s.coldLimiter, pace.NewRegionLimiter(settings.Bounds().ShiftMax()))
+	s.chooser = pick.New(settings.Zone(), s.coldLimiter, pace.NewRegionLimiter(settings.Bounds().ShiftMax()), s.rateLimiter)
 	s.feed.OnView(s.onViewChange)
 	heartbeats.SetNotices(s.addNotices)
 	return s
@@ -94,6 +95,7 @@
 func (s *Server) onViewChange(view *fleet.View) {
 	s.targetClients.closeStale(view)
 	s.chooser.Forget(view)
+	s.rateLimiter.Forget(view, s.now())
 	s.coldLimiter.Forget(func(name place.Target) bool {
 		_, found := view.Member(name)
 		return found
--- a/front/tries_test.go
+++ b/front/tries_test.go
@@ -69,7 +69,7 @@
 // newAttempt returns an attempt at a target whose name depends on the step.
 func newAttempt(t *rapid.T, step int) *pick.Attempt {
 	m := fleet.NewMember(fleet.Report{Target: place.Target(rune('a' + step)), Service: "s", Zone: "a/1", Slots: 1}, time.Time{})
-	attempt, err := pick.New("a/1", pace.NewColdLimiter(), pace.NewRegionLimiter(1)).Choose([]*fleet.Member{m}, pick.Query{
+	attempt, err := pick.New("a/1", pace.NewColdLimiter(), pace.NewRegionLimiter(1), pace.NewRateLimiter(func() pace.Turn { return pace.NewTurn(0, 1) })).Choose([]*fleet.Member{m}, pick.Query{
 		Service: "s", Aim: time.Second, TimeLeft: time.Minute, Allowed: func(place.Region) bool { return true },
 		ColdShare: func(*fleet.Member) int64 { return 0 },
 	}, time.Unix(1000, 0))
--- a/peers/instances.go
+++ b/peers/instances.go
@@ -7,10 +7,13 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
+	"github.com/endivechute/endivechute/pace"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/wire"
@@ -33,6 +36,8 @@
 	instances map[place.Instance]registration
 	// seeds holds the instances that Resolve discovered.
 	seeds map[place.Instance]seed
+	// turn is the position of this instance among the registered ones.
+	turn atomic.Pointer[pace.Turn]
 }
 
 // seed is an instance whose address is in the settings.
@@ -49,10 +54,12 @@
 
 // NewInstances returns an Instances that has none yet.
 func NewInstances(self wire.Hello, pool *Pool, heartbeats *Heartbeats, now func() time.Time) *Instances {
-	return &Instances{
+	m := &Instances{
 		self: self, pool: pool, heartbeats: heartbeats, now: now,
 		instances: map[place.Instance]registration{}, seeds: map[place.Instance]seed{},
 	}
+	m.updateTurn()
+	return m
 }
 
 // Call sends a message to an instance and waits for its reply.
@@ -86,8 +93,27 @@
 	}
 	m.pool.SetAddresses(addresses)
 	m.heartbeats.SetPeers(zonePeers)
+	m.updateTurn()
 }
 
+// updateTurn computes the position of this instance in the order of the hashes of
+// the names, in which the instances of each availability zone are spread. The caller
+// holds m.mu.
+func (m *Instances) updateTurn() {
+	own, position := xxhash.Sum64String(string(m.self.Instance)), 0
+	for name := range m.instances {
+		if xxhash.Sum64String(string(name)) < own {
+			position++
+		}
+	}
+	turn := pace.NewTurn(position, len(m.instances)+1)
+	m.turn.Store(&turn)
+}
+
+// Turn returns the position of this instance among all registered ones, in an order
+// that is the same at all of them.
+func (m *Instances) Turn() pace.Turn { return *m.turn.Load() }
+
 // Resolve discovers the instances at the given addresses, which the settings
 // list as seeds. It returns all instances that it has discovered so far, the
 // nearest first, which can be called from then on.
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -64,6 +64,7 @@
 	region        place.Region
 	coldLimiter   *pace.ColdLimiter
 	regionLimiter *pace.RegionLimiter
+	rateLimiter   *pace.RateLimiter
 
 	mu       sync.Mutex
 	targets  map[place.Target]*targetRecord
@@ -80,8 +81,8 @@
 }
 
 // New returns a Chooser for an entry in the availability zone.
-func New(zone place.Zone, coldLimiter *pace.ColdLimiter, regionLimiter *pace.RegionLimiter) *Chooser {
-	return &Chooser{zone: zone, region: zone.Region(), coldLimiter: coldLimiter, regionLimiter: regionLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}, pauses: map[fleet.Process]time.Time{}}
+func New(zone place.Zone, coldLimiter *pace.ColdLimiter, regionLimiter *pace.RegionLimiter, rateLimiter *pace.RateLimiter) *Chooser {
+	return &Chooser{zone: zone, region: zone.Region(), coldLimiter: coldLimiter, regionLimiter: regionLimiter, rateLimiter: rateLimiter, targets: map[place.Target]*targetRecord{}, services: map[place.Service]*serviceStats{}, pauses: map[fleet.Process]time.Time{}}
 }
 
 // Attempt is a request in flight to a target.
@@ -175,6 +176,9 @@
 		return attempt, nil
 	}
 	if refusal == nil {
+		if limited := c.shortestLimit(members, q, now); limited > 0 {
+			return nil, limitedRefusal(q.Service, limited)
+		}
 		if pause := c.shortestPause(members, q, now); pause > 0 {
 			return nil, pausedRefusal(q.Service, pause)
 		}
@@ -200,6 +204,10 @@
 			candidates = slices.Delete(candidates, i, i+1)
 			continue
 		}
+		if !c.rateLimiter.Take(chosen.Member, now) {
+			candidates = slices.Delete(candidates, i, i+1)
+			continue
+		}
 		c.regionLimiter.Count(chosen.Distance == OtherRegion, now)
 		return c.send(chosen, estimate, s, o.hash, q, now), nil
 	}
@@ -313,13 +321,15 @@
 		if q.Object != "" {
 			candidate.Rank = position
 		}
-		// Unreachable and slow candidates don't push others to a higher rank.
-		if !candidate.Unreachable && !candidate.slow() {
+		limited := c.rateLimiter.Wait(l.member, now) > 0
+		// Unreachable, slow and limited candidates don't push others to a higher
+		// rank.
+		if !candidate.Unreachable && !candidate.slow() && !limited {
 			position++
 		}
 		// Tried and paused targets count for the ranks: a rejection by the first
 		// target doesn't mean that the next one has the object cached.
-		if !candidate.Paused && !slices.Contains(q.Tried, l.member.Target()) {
+		if !candidate.Paused && !limited && !slices.Contains(q.Tried, l.member.Target()) {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -430,14 +440,14 @@
 }
 
 // Probes returns the unreachable targets whose next probe is due, and schedules
-// the probe after it.
+// the probe after it. A probe counts for the limit that a target names.
 func (c *Chooser) Probes(view *fleet.View, now time.Time) []*fleet.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var due []*fleet.Member
 	for target, k := range c.targets {
 		m, found := view.Member(target)
-		if found && m.Process() == k.process && c.pauseOf(k.process, now) == 0 && k.stats.probeDue(now) {
+		if found && m.Process() == k.process && c.pauseOf(k.process, now) == 0 && k.stats.probeDue(now) && c.rateLimiter.Take(m, now) {
 			due = append(due, m)
 		}
 	}
--- a/pick/list_test.go
+++ b/pick/list_test.go
@@ -27,7 +27,13 @@
 	return members
 }
 
-func newTestChooser() *Chooser { return New("a/a1", pace.NewColdLimiter(), pace.NewRegionLimiter(0)) }
+func newTestRateLimiter() *pace.RateLimiter {
+	return pace.NewRateLimiter(func() pace.Turn { return pace.NewTurn(0, 1) })
+}
+
+func newTestChooser() *Chooser {
+	return New("a/a1", pace.NewColdLimiter(), pace.NewRegionLimiter(0), newTestRateLimiter())
+}
 
 func testQuery(object string) Query {
 	return Query{
@@ -157,7 +163,7 @@
 		}, time.Time{}))
 	}
 	const bound = 0.15
-	c := New("a/a1", pace.NewColdLimiter(), pace.NewRegionLimiter(bound))
+	c := New("a/a1", pace.NewColdLimiter(), pace.NewRegionLimiter(bound), newTestRateLimiter())
 	now := time.Unix(1000, 0)
 	shares := make([]float64, 0, windows)
 	for window := range windows {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -19,7 +19,7 @@
 }
 
 func newChooser() *pick.Chooser {
-	return pick.New("a/1", pace.NewColdLimiter(), pace.NewRegionLimiter(0.15))
+	return pick.New("a/1", pace.NewColdLimiter(), pace.NewRegionLimiter(0.15), pace.NewRateLimiter(func() pace.Turn { return pace.NewTurn(0, 1) }))
 }
 
 func query(object string) pick.Query {
@@ -50,7 +50,7 @@
 // an object without communicating.
 func TestEntriesAgree(t *testing.T) {
 	members := membersIn("a/1", "a/1", "a/2", "a/2", "b/1", "b/1")
-	one, two := newChooser(), pick.New("a/2", pace.NewColdLimiter(), pace.NewRegionLimiter(0.15))
+	one, two := newChooser(), pick.New("a/2", pace.NewColdLimiter(), pace.NewRegionLimiter(0.15), pace.NewRateLimiter(func() pace.Turn { return pace.NewTurn(0, 1) }))
 	chosen := map[place.Target]bool{}
 	for i := range 50 {
 		object := fmt.Sprint("object", i)
--- a/pick/state.go
+++ b/pick/state.go
@@ -28,6 +28,9 @@
 	// PausedMillis is how much longer the target wants no requests from this
 	// entry, in milliseconds.
 	PausedMillis int64 `json:"paused_ms"`
+	// Limit is the limit that the target names on the requests of all entries
+	// together, in requests per second, nil if it names none.
+	Limit *float64 `json:"limit_per_second,omitempty"`
 }
 
 // States returns the state of the targets in the view that this entry has
@@ -43,6 +46,9 @@
 		}
 		state := k.stats.state(m, now)
 		state.PausedMillis = c.pauseOf(k.process, now).Milliseconds()
+		if perSecond, named := c.rateLimiter.Limit(k.process); named {
+			state.Limit = &perSecond
+		}
 		states = append(states, state)
 	}
 	slices.SortFunc(states, func(a, b TargetState) int { return strings.Compare(string(a.Target), string(b.Target)) })
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -36,7 +36,7 @@
 
 func newEntry(w *world, zone place.Zone) *entry {
 	e := &entry{world: w, zone: zone, retryBudgets: map[string]*pace.RetryBudget{}}
-	e.chooser = pick.New(zone, pace.NewColdLimiter(), pace.NewRegionLimiter(shiftMax))
+	e.chooser = pick.New(zone, pace.NewColdLimiter(), pace.NewRegionLimiter(shiftMax), pace.NewRateLimiter(func() pace.Turn { return pace.NewTurn(0, 1) }))
 	for _, s := range w.scenario.Services {
 		e.retryBudgets[s.Name] = pace.NewRetryBudget(retryRatio, retryWindow, w.time().Add(-retryWindow))
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -113,6 +113,22 @@
 	// Left lists targets that announced that they leave and are still in the
 	// platform's list.
 	Left []LeavingTarget `msgpack:"left,omitempty"`
+	// Limits lists limits on their requests that targets named in answers to the
+	// sender, or ceased to name.
+	Limits []TargetLimit `msgpack:"limits,omitempty"`
+}
+
+// TargetLimit is a limit on the requests to a target from all instances together.
+// Born is the start of the target's process in Unix milliseconds. Named is false if
+// the target names no limit any more.
+type TargetLimit struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads the tag
+
+	Target    place.Target
+	Born      int64
+	PerSecond float64
+	Named     bool
+	AgeMillis int64
 }
 
 // LeavingTarget is a target that announced that it leaves. Born is the start of its
