Have targets of the soak name limits

The check counts windows of 4 s as the platform's rule does, from 3 s after the first answer with a limit, over the instances that had passed one on.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -29,6 +29,9 @@
 	slowServiceTime = 900 * time.Millisecond
 	// minPause is the shortest pause that a target asks for.
 	minPause = time.Second
+	// limitTime is for how long, at least, a target names a limit. The platform's
+	// rule counts windows of limitWindow from stabilityWindow after the first time.
+	limitTime = stabilityWindow + limitWindow + time.Second
 	// rewriteTime is how long after the store was restored the operator and the
 	// targets have written again what it lacks. The platform allows two seconds.
 	rewriteTime = time.Second
@@ -160,6 +163,19 @@
 		time.Sleep(lasts)
 		t.behavior.Store(&behavior{serviceTime: targetServiceTime})
 	},
+	"limit": func(w *testbed, random *rand.Rand, lasts time.Duration) {
+		t := w.pickTarget(random, false)
+		if t == nil {
+			return
+		}
+		// The limit is lowered midway.
+		limit := 2 + 18*random.Float64()
+		for _, part := range []float64{1, 0.5} {
+			t.behavior.Store(&behavior{serviceTime: targetServiceTime, limit: limit * part})
+			time.Sleep((limitTime + lasts) / 2)
+		}
+		t.behavior.Store(&behavior{serviceTime: targetServiceTime})
+	},
 	"restore":   func(w *testbed, _ *rand.Rand, lasts time.Duration) { w.restore(lasts) },
 	"configure": func(w *testbed, _ *rand.Rand, _ time.Duration) { w.configure() },
 }
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -52,6 +52,62 @@
 	checkCanceled(t, r, known)
 	checkBudget(t, arrivals)
 	checkNotices(t, r, known)
+	checkLimits(t, r, known)
+}
+
+// The platform's rule on limits: in such a window a target may get limitFactor times
+// what the highest limit that it named there allows, and limitSlack more, from
+// instances that passed on an answer with a limit toldAfter before or earlier.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	toldAfter   = 500 * time.Millisecond
+)
+
+// checkLimits looks for targets that got more requests than the limits that they
+// named allow.
+func checkLimits(t *testing.T, r *record, known map[string]*call) {
+	t.Helper()
+	byTarget := map[string][]*arrival{}
+	for _, a := range r.arrivals {
+		byTarget[a.target] = append(byTarget[a.target], a)
+	}
+	for target, arrivals := range byTarget {
+		slices.SortFunc(arrivals, func(a, b *arrival) int { return int(a.at - b.at) })
+		first := slices.IndexFunc(arrivals, func(a *arrival) bool { return a.limit > 0 })
+		if first < 0 {
+			continue
+		}
+		from := arrivals[first].limitNamed + stabilityWindow
+		told := map[string]time.Duration{}
+		var counted []*arrival
+		for _, a := range arrivals[first:] {
+			c := known[a.id]
+			if c == nil {
+				continue
+			}
+			at, found := told[c.node]
+			if found && a.at > max(from, at+toldAfter) && a.limit > 0 && r.undisturbed(at-stabilityWindow, a.at, c.node, c.node+" stop", testMachine) {
+				counted = append(counted, a)
+			}
+			if !found && a.limit > 0 {
+				told[c.node] = a.limitNamed
+			}
+		}
+		for i, last := range counted {
+			n, limit := 0, 0.0
+			for _, a := range counted[:i+1] {
+				if a.at > last.at-limitWindow {
+					n, limit = n+1, max(limit, a.limit)
+				}
+			}
+			if allowed := int(limitFactor*limit*limitWindow.Seconds()) + limitSlack; n > allowed {
+				t.Errorf("LIMIT: target %s, which named a limit of %.1f a second, got %d requests in %v until %v, at most %d are allowed", target, limit, n, limitWindow, last.at, allowed)
+				break
+			}
+		}
+	}
 }
 
 // Limits of what may reach a target that asked for a pause: the requests that were
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -42,6 +42,10 @@
 	// set if it announced there that it leaves.
 	pause     time.Duration
 	announced bool
+	// limit is the limit that the target named in its answer, in requests per
+	// second, 0 if it named none, and limitNamed when it did.
+	limit      float64
+	limitNamed time.Duration
 }
 
 // change is a change of the configuration or a drain of a target, with the time
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -30,6 +30,9 @@
 	pause time.Duration
 	// announces makes the target announce in its answers that it leaves.
 	announces bool
+	// limit, if set, is the limit that the target names in its answers, in requests
+	// per second.
+	limit float64
 }
 
 // target is a simulated target behind a link.
@@ -74,6 +77,10 @@
 	if conduct.announces {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if conduct.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(conduct.limit, 'f', -1, 64))
+		defer func() { t.record.update(func() { a.limit, a.limitNamed = conduct.limit, t.record.now() }) }()
+	}
 	if conduct.pause > 0 {
 		w.Header().Set("Retry-After", fmt.Sprint(conduct.pause.Seconds()))
 		t.fake.RespondNotRun(w, r)
