Keep a keeper's requests within the limit that its target names

Each target has one sender, its keeper, so that no share is needed: the ledger admits a request only with a token of the limit, as pace.RateLimiter does for a fleet of one. What doesn't fit waits if its deadline allows that, and is refused at once otherwise. The views of keepers carry the limit, so that the next keeper knows it before its first request. The stand-in of targets learns to name a limit.

--- a/entry/steer.go
+++ b/entry/steer.go
@@ -307,7 +307,9 @@
 		e.limits.releaseSlot(ctx, name, k, permit, keeper.OutcomeUnused)
 		return nil, errs.NotRun(errs.ReasonLostKeeper, DefaultRetryAfter, "instance %s is no longer the keeper of target %s", e.self.Instance, name)
 	}
+	sent := e.limits.clock()
 	answer, err := client.Do(ctx, targetRequest(policy, r))
+	e.observeLimit(k, name, answer, sent)
 	e.limits.releaseSlot(ctx, name, k, permit, outcomeOf(err, !policy.NonIdempotent(r.method, r.pathWithoutQuery())))
 	if err != nil {
 		return nil, err
@@ -317,6 +319,23 @@
 	return message, nil
 }
 
+// observeLimit records whether a target that this entry keeps names a limit in the
+// answer to a request that was sent at the given time on the clock of limits. A
+// limit that is invalid changes nothing.
+func (e *Entry) observeLimit(k *targetState, name place.Target, answer sender.Answer, sent time.Duration) {
+	perSecond, named, err := sender.ReadLimit(answer)
+	switch {
+	case err != nil:
+		e.log.WithError(err).WithField("target", name).Warn("A header of a target is invalid.")
+	case answer.Status() == 0:
+		// There is no answer.
+	case named:
+		k.limiter.NameLimit(perSecond)
+	default:
+		k.limiter.UnnameLimit(sent)
+	}
+}
+
 // targetRequest returns the request to a target. Its ID, which targets repeat in
 // their answers, is the caller's or a new one, so that an answer to an earlier
 // request on the connection isn't taken for its own.
--- a/entry/views.go
+++ b/entry/views.go
@@ -63,6 +63,14 @@
 	k.view.Store(&receivedView{KeeperView: *keeperView, receivedAt: l.clock()})
 	k.sent.Store(0)
 	k.keeper.Store(&from)
+	// The next keeper has to know the limit before its first request.
+	if now := l.clock(); !k.lease.Held(now) {
+		if keeperView.Limit != nil {
+			k.limiter.NameLimit(*keeperView.Limit)
+		} else {
+			k.limiter.UnnameLimit(now)
+		}
+	}
 }
 
 // ownView returns the view of a target that this entry keeps, or nil if it is not
@@ -73,5 +81,5 @@
 		return nil
 	}
 	v := k.limiter.View()
-	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds()}
+	return &wire.KeeperView{Target: name, Free: v.Free, WaitMicros: v.Wait.Microseconds(), Failures: v.Failing, Leaving: v.Leaving, ServiceMicros: v.Service.Microseconds(), Limit: v.Limit}
 }
--- a/keeper/ledger.go
+++ b/keeper/ledger.go
@@ -155,6 +155,7 @@
 	serviceHalfLife  time.Duration // time without updates after which service is halved
 	failures         int           // consecutive
 	failedAt         time.Duration // when the last failure occurred
+	rate             rate          // the limit that the target names
 }
 
 // NewLedger returns the Ledger of a target that hasn't been used yet.
@@ -311,7 +312,7 @@
 	if l.leaving {
 		return 0
 	}
-	return max(0, l.capacity(now)-l.occupied(now)-len(l.queue))
+	return l.rate.free(max(0, l.capacity(now)-l.occupied(now)-len(l.queue)), now)
 }
 
 // Wait returns the expected wait for a slot of a request that arrives now.
@@ -320,7 +321,8 @@
 		return 0
 	}
 	capacity := max(1, l.capacity(now))
-	return l.service * time.Duration(len(l.queue)+1) / time.Duration(capacity)
+	slotWait := l.service * time.Duration(len(l.queue)+1) / time.Duration(capacity)
+	return max(slotWait, l.rate.wait(len(l.queue)+1, now))
 }
 
 // Waiting returns how many requests are queued.
@@ -348,6 +350,7 @@
 		return Refused{reason: errs.ReasonNoTarget}
 	}
 	if l.Free(now) > 0 {
+		l.rate.take()
 		l.running[id] = now
 		return Started{id: id}
 	}
@@ -464,9 +467,10 @@
 			l.queue = l.queue[1:]
 			continue
 		}
-		if l.leaving || l.occupied(now) >= l.capacity(now) {
+		if l.leaving || l.occupied(now) >= l.capacity(now) || l.rate.wait(1, now) > 0 {
 			break
 		}
+		l.rate.take()
 		l.queue = l.queue[1:]
 		l.running[first.id] = now
 		started = append(started, Started{id: first.id})
--- a/keeper/limiter.go
+++ b/keeper/limiter.go
@@ -40,6 +40,9 @@
 	// Service is the mean time from dispatch to answer; it decays while no
 	// answers arrive.
 	Service time.Duration `msgpack:"service" json:"service_ns"`
+	// Limit is the limit that the target names on its requests, in requests per
+	// second, nil if it names none.
+	Limit *float64 `msgpack:"limit,omitempty" json:"limit_per_second,omitempty"`
 }
 
 // NewLimiter returns the Limiter of a target. The clock must be the one whose
@@ -277,7 +280,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	return View{
+	v := View{
 		Held:    l.refresh(now),
 		Free:    l.ledger.Free(now),
 		Waiting: l.ledger.Waiting(),
@@ -287,4 +290,8 @@
 		Leaving: l.ledger.leaving,
 		Service: l.ledger.AnswerTime(now),
 	}
+	if perSecond, named := l.ledger.NamedLimit(); named {
+		v.Limit = &perSecond
+	}
+	return v
 }
--- a/pace/rate.go
+++ b/pace/rate.go
@@ -44,24 +44,48 @@
 // entries.
 func NewTurn(position, size int) Turn { return Turn{position: position, size: max(size, 1)} }
 
-// share is this entry's part of a limit. The first entries in the order are the
+// Share is an entry's part of a limit. The first entries in the order are the
 // senders, as many as may send a request at the same moment without exceeding the
 // limit. Each has a token bucket. The others only send a trickle, from which they
 // learn whether the limit is still there if nobody tells them.
-type share struct {
-	// perSecond is the rate of this entry and burst the capacity of its bucket, 0
-	// if it isn't a sender.
+type Share struct {
+	// perSecond is the rate of the entry and burst the capacity of its bucket, 0 if
+	// it isn't a sender.
 	perSecond, burst float64
 }
 
-func (t Turn) share(limit float64) share {
+// WholeLimit returns the part of a limit that the only entry has which sends to a
+// target.
+func WholeLimit(limit float64) Share { return NewTurn(0, 1).share(limit) }
+
+// Bucket is the token bucket of a sender. The zero value is empty.
+type Bucket struct{ tokens float64 }
+
+// Refill adds the tokens for the time that has passed since the last call.
+func (b *Bucket) Refill(s Share, passed time.Duration) {
+	b.tokens = min(b.tokens+s.perSecond*max(passed, 0).Seconds(), s.burst)
+}
+
+// Tokens returns how many requests may be sent now.
+func (b *Bucket) Tokens() int { return int(max(b.tokens, 0)) }
+
+// Wait returns after which time the given number of requests may have been sent, 0 if
+// they may be sent now.
+func (b *Bucket) Wait(s Share, requests int) time.Duration {
+	return seconds(max(float64(requests)-b.tokens, 0) / s.perSecond)
+}
+
+// Take counts a request.
+func (b *Bucket) Take() { b.tokens-- }
+
+func (t Turn) share(limit float64) Share {
 	limit = max(limit, rateMin)
 	tokens := math.Floor(limit*burstSpan.Seconds()) + burstMin
 	senders := min(float64(t.size), tokens)
 	if float64(t.position) < senders {
-		return share{perSecond: limitMargin * limit / senders, burst: math.Floor(tokens / senders)}
+		return Share{perSecond: limitMargin * limit / senders, burst: math.Floor(tokens / senders)}
 	}
-	return share{perSecond: trickleShare * limit / (float64(t.size) - senders)}
+	return Share{perSecond: trickleShare * limit / (float64(t.size) - senders)}
 }
 
 // shift moves the order of the entries by the hash of a target, so that they aren't
@@ -106,8 +130,8 @@
 	// at is when any entry made the newest observation, and ownAt when this one
 	// made its own newest.
 	at, ownAt time.Time
-	// tokens is the number of tokens in the bucket of a sender, as of refilledAt.
-	tokens     float64
+	// bucket is that of a sender, as of refilledAt.
+	bucket     Bucket
 	refilledAt time.Time
 	// nextSlot is the start of the slot of the trickle that is used next, zero if
 	// there is none yet.
@@ -115,32 +139,29 @@
 }
 
 // wait returns after which time a request may be sent, 0 if it may now.
-func (l *limitRecord) wait(s share, now time.Time) time.Duration {
+func (l *limitRecord) wait(s Share, now time.Time) time.Duration {
 	if s.burst == 0 {
 		l.advanceSlot(s, now)
 		return max(l.nextSlot.Sub(now), 0)
 	}
-	l.tokens = min(l.tokens+s.perSecond*max(now.Sub(l.refilledAt), 0).Seconds(), s.burst)
+	l.bucket.Refill(s, now.Sub(l.refilledAt))
 	l.refilledAt = now
-	if l.tokens >= 1 {
-		return 0
-	}
-	return seconds((1 - l.tokens) / s.perSecond)
+	return l.bucket.Wait(s, 1)
 }
 
 // use counts a request that may be sent now.
-func (l *limitRecord) use(s share) {
+func (l *limitRecord) use(s Share) {
 	if s.burst == 0 {
 		l.nextSlot = l.nextSlot.Add(seconds(1 / s.perSecond))
 		return
 	}
-	l.tokens--
+	l.bucket.Take()
 }
 
 // advanceSlot passes over the slots that can't be used any more. A slot that isn't
 // used is lost, so that not all entries have one after an idle time. The first slot
 // is at a random time, so that those of the entries are spread.
-func (l *limitRecord) advanceSlot(s share, now time.Time) {
+func (l *limitRecord) advanceSlot(s Share, now time.Time) {
 	interval := seconds(1 / s.perSecond)
 	if l.nextSlot.IsZero() {
 		l.nextSlot = now.Add(time.Duration(rand.Float64() * float64(interval)))
@@ -284,7 +305,7 @@
 }
 
 // shareOf returns this entry's part of the limit of a target.
-func (r *RateLimiter) shareOf(m *fleet.Member, record *limitRecord) share {
+func (r *RateLimiter) shareOf(m *fleet.Member, record *limitRecord) Share {
 	return r.turn().shift(m.Hash()).share(record.perSecond)
 }
 
--- a/stub/control.go
+++ b/stub/control.go
@@ -28,6 +28,9 @@
 	// ColdMillis multiplies the service time by coldFactor for this long from the
 	// time of the POST.
 	ColdMillis int `json:"cold_ms"`
+	// Limit, if set, is the value of the header Server-Limit in all answers, the
+	// requests per second that the target takes. Nothing beyond it is rejected.
+	Limit string `json:"limit"`
 }
 
 // Execution is a request that a target started to run. Times are in Unix
--- a/stub/serve.go
+++ b/stub/serve.go
@@ -21,6 +21,7 @@
 	headerKey      = "Endivechute-Key"
 	headerRequest  = "X-Request-Id"
 	headerDeadline = "X-Deadline-Ms"
+	headerLimit    = "Server-Limit"
 	coldFactor     = 4
 	queueWaitMax   = time.Minute
 )
@@ -46,6 +47,9 @@
 	if t.isDown() {
 		panic(http.ErrAbortHandler)
 	}
+	if limit := t.namedLimit(); limit != "" {
+		w.Header().Set(headerLimit, limit)
+	}
 	if status := t.acquireSlot(r); status != http.StatusOK {
 		t.shedRequest(w, status)
 		return
@@ -60,6 +64,12 @@
 	return t.faults.Down
 }
 
+func (t *target) namedLimit() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.faults.Limit
+}
+
 func (t *target) shedRequest(w http.ResponseWriter, status int) {
 	t.mutex.Lock()
 	t.shed++
--- a/wire/limits.go
+++ b/wire/limits.go
@@ -76,6 +76,9 @@
 	Leaving    bool         `msgpack:"l"`
 	// ServiceMicros is the service time: from sending a request to its answer.
 	ServiceMicros int64 `msgpack:"s"`
+	// Limit is the limit that the target names on its requests, in requests per
+	// second, nil if it names none.
+	Limit *float64 `msgpack:"q,omitempty"`
 }
 
 // Ack acknowledges a message that needs no other answer.
