Tell other availability zones of limits that begin, change or end

The instance that observes a change tells one random instance of each other zone, twice, and that one tells its zone with its heartbeats.

--- a/front/dump.go
+++ b/front/dump.go
@@ -20,6 +20,7 @@
 	KnowledgeAge   string             `json:"knowledge_age"`
 	StoreEra       uint64             `json:"store_era"`
 	LeavingTargets int                `json:"leaving_targets"`
+	LimitedTargets int                `json:"limited_targets"`
 	Version        uint64             `json:"version"`
 	Routes         int                `json:"routes"`
 	EvacuatedZones []place.Zone       `json:"evacuated_zones"`
@@ -35,7 +36,7 @@
 	view, now := s.feed.View(), s.now()
 	d := Dump{
 		Instance: s.self.Instance, Zone: s.self.Zone, Ready: s.Ready(), Leaving: s.shuttingDown.Load(), Running: s.activeRequests.Load(),
-		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
+		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), LimitedTargets: s.rateLimiter.Size(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
 		Targets: s.chooser.States(view, now),
--- a/front/limit_test.go
+++ b/front/limit_test.go
@@ -50,6 +50,23 @@
 	return i
 }
 
+// newTestPlatform starts a store with a configuration and targets, which are named
+// t1 and so on.
+func newTestPlatform(t *testing.T, count int) (*fakes.Store, []*fakes.Target) {
+	t.Helper()
+	store := fakes.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("config", "main", fakes.Config(1, timeoutMillis))
+	targets := make([]*fakes.Target, count)
+	for i := range targets {
+		id := fmt.Sprintf("t%d", i+1)
+		targets[i] = fakes.NewTarget(id)
+		t.Cleanup(targets[i].Close)
+		store.Put("servers", id, targets[i].Spec("svc", "a1", "ready", 0, 1))
+	}
+	return store, targets
+}
+
 // newTestFleet starts one instance in each of the zones, at most nine, and waits
 // until all of them know of each other.
 func newTestFleet(t *testing.T, store *fakes.Store, zones ...string) []testInstance {
@@ -152,16 +169,7 @@
 		limit = 10
 		known = 500 * time.Millisecond
 	)
-	store := fakes.NewStore()
-	t.Cleanup(store.Close)
-	store.Put("config", "main", fakes.Config(1, timeoutMillis))
-	targets := make([]*fakes.Target, 2)
-	for i := range targets {
-		id := fmt.Sprintf("t%d", i+1)
-		targets[i] = fakes.NewTarget(id)
-		t.Cleanup(targets[i].Close)
-		store.Put("servers", id, targets[i].Spec("svc", "a1", "ready", 0, 1))
-	}
+	store, targets := newTestPlatform(t, 2)
 	limited := newNamedLimit(targets[0])
 	instances := newTestFleet(t, store, "a1", "a1", "a2", "b1")
 
@@ -191,6 +199,25 @@
 	}
 }
 
+// TestLimitToldToOtherZones has a target name a limit to one instance and end it. The
+// instances of another availability zone, which send nothing, must learn of both.
+func TestLimitToldToOtherZones(t *testing.T) {
+	store, targets := newTestPlatform(t, 1)
+	limited := newNamedLimit(targets[0])
+	instances := newTestFleet(t, store, "a1", "b1", "b1")
+	for _, value := range []string{"10", ""} {
+		limited.set(value)
+		sendAll(t, instances[:1], time.Second)
+		want := 0
+		if value != "" {
+			want = 1
+		}
+		for n, i := range instances {
+			eventually(t, 2*time.Second, fmt.Sprintf("instance %d knows %d limits", n, want), func() bool { return i.server.Dump().LimitedTargets == want })
+		}
+	}
+}
+
 // TestLimitHeader has targets name limits that are valid or not. What is invalid
 // neither sets a limit nor ends one.
 func TestLimitHeader(t *testing.T) {
--- a/front/server.go
+++ b/front/server.go
@@ -136,10 +136,10 @@
 }
 
 // Handle answers a call of another instance. It implements wire.Handler.
-func (s *Server) Handle(ctx context.Context, _ wire.Hello, message wire.Message) wire.Message {
+func (s *Server) Handle(ctx context.Context, from wire.Hello, message wire.Message) wire.Message {
 	switch m := message.(type) {
 	case *wire.Heartbeat:
-		s.takeNotices(m)
+		s.takeNotices(from, m)
 		ack := s.heartbeats.Ack()
 		ack.Leaving = !s.Ready()
 		return ack
@@ -172,6 +172,7 @@
 	tasks.Go(func() { s.heartbeats.Run(background) })
 	tasks.Go(func() { s.register(background) })
 	tasks.Go(func() { s.runProbes(background) })
+	tasks.Go(func() { s.runNews(background) })
 	tasks.Go(func() { s.reportSuppressed(background) })
 	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings().Store()}).Info("Starting.")
 	err = s.serve(ctx)
--- a/front/share.go
+++ b/front/share.go
@@ -1,13 +1,17 @@
 package front
 
 import (
+	"context"
 	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/pace"
+	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
 
@@ -30,17 +34,46 @@
 	for _, process := range s.feed.LeavingListed(leavingTargetsMax) {
 		heartbeat.Left = append(heartbeat.Left, wire.LeavingTarget{Target: process.Target(), Born: process.Born()})
 	}
-	for _, l := range s.rateLimiter.Observations(limitsMax, s.now()) {
-		heartbeat.Limits = append(heartbeat.Limits, wire.TargetLimit{
+	heartbeat.Limits = limitsToWire(s.rateLimiter.Observations(limitsMax, s.now()))
+}
+
+// limitsToWire returns the limits as a heartbeat holds them.
+func limitsToWire(limits []pace.Limit) []wire.TargetLimit {
+	told := make([]wire.TargetLimit, 0, len(limits))
+	for _, l := range limits {
+		told = append(told, wire.TargetLimit{
 			Target: l.Process().Target(), Born: l.Process().Born(), PerSecond: l.PerSecond(), Named: l.Named(), AgeMillis: l.Age().Milliseconds(),
 		})
 	}
+	return told
+}
+
+// runNews tells the other availability zones the news of targets until ctx ends, one
+// instance of each, which tells the others of its zone.
+func (s *Server) runNews(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	for wait.Sleep(ctx, peers.HeartbeatInterval) {
+		news := &wire.Heartbeat{Instance: s.self.Instance, Incarnation: s.self.Incarnation, Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now()))}
+		if len(news.Limits) == 0 {
+			continue
+		}
+		for _, peer := range s.instances.OneOfEachOtherZone() {
+			tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, peers.HeartbeatInterval)
+				defer cancel()
+				if _, err := s.instances.Call(ctx, peer, news); err != nil {
+					s.log.WithError(err).WithField("peer", peer).Debug("Telling another availability zone the news of targets failed.")
+				}
+			})
+		}
+	}
 }
 
 // takeNotices takes in what another instance's heartbeat tells of targets.
-func (s *Server) takeNotices(heartbeat *wire.Heartbeat) {
+func (s *Server) takeNotices(from wire.Hello, heartbeat *wire.Heartbeat) {
 	s.observe(heartbeat.Slow)
-	s.hearLimits(heartbeat)
+	s.hearLimits(heartbeat, from.Zone != s.self.Zone)
 	for _, left := range heartbeat.Left {
 		m, found := s.feed.View().Member(left.Target)
 		if found && m.Process().Born() == left.Born && s.feed.MarkLeaving(m.Process()) {
@@ -49,8 +82,9 @@
 	}
 }
 
-// hearLimits takes in the limits in another instance's heartbeat.
-func (s *Server) hearLimits(heartbeat *wire.Heartbeat) {
+// hearLimits takes in the limits in another instance's heartbeat. If relay is set,
+// they are told to the instances of this availability zone.
+func (s *Server) hearLimits(heartbeat *wire.Heartbeat, relay bool) {
 	for _, l := range heartbeat.Limits {
 		m, found := s.feed.View().Member(l.Target)
 		perSecond := l.PerSecond
@@ -58,7 +92,7 @@
 			continue
 		}
 		limit := pace.NewLimit(m.Process(), perSecond, l.Named, time.Duration(l.AgeMillis)*time.Millisecond)
-		if s.rateLimiter.Hear(limit, s.now()) {
+		if s.rateLimiter.Hear(limit, relay, s.now()) {
 			s.log.WithFields(logrus.Fields{fieldTarget: l.Target, fieldLimit: perSecond, "named": l.Named, "peer": heartbeat.Instance}).Info("Another instance tells of the limit of a target.")
 		}
 	}
--- a/pace/rate.go
+++ b/pace/rate.go
@@ -30,6 +30,10 @@
 	rateMin = 0.1
 	// observationTime is how long an observation is told to other entries.
 	observationTime = 1500 * time.Millisecond
+	// changeTime is how long a change is told to entries of other availability
+	// zones, and changeMin the least change of a limit that is, as a fraction of it.
+	changeTime = time.Second
+	changeMin  = 0.2
 	// limitMemory is how long the limit of a process that isn't listed is kept. A
 	// target may disappear from the list for a while.
 	limitMemory = 10 * time.Minute
@@ -130,6 +134,10 @@
 	// at is when any entry made the newest observation, and ownAt when this one
 	// made its own newest.
 	at, ownAt time.Time
+	// changedAt is when this entry itself observed that a limit began, ended or
+	// changed, and toldPerSecond the limit as of then.
+	changedAt     time.Time
+	toldPerSecond float64
 	// bucket is that of a sender, as of refilledAt.
 	bucket     Bucket
 	refilledAt time.Time
@@ -203,6 +211,9 @@
 		record = r.add(process, now)
 	}
 	changed := !record.named || record.perSecond != perSecond
+	if !record.named || math.Abs(perSecond-record.toldPerSecond) > changeMin*record.toldPerSecond {
+		record.changedAt, record.toldPerSecond = now, perSecond
+	}
 	record.perSecond, record.named, record.at, record.ownAt = perSecond, true, now, now
 	return changed
 }
@@ -217,13 +228,13 @@
 	if !found || !record.named || !sent.After(record.at) {
 		return false
 	}
-	record.named, record.at, record.ownAt = false, now, now
+	record.named, record.at, record.ownAt, record.changedAt = false, now, now, now
 	return true
 }
 
 // Hear records the observation of another entry, and reports whether it changes
-// what was known.
-func (r *RateLimiter) Hear(l Limit, now time.Time) bool {
+// what was known. If relay is set, Observations returns it like this entry's own.
+func (r *RateLimiter) Hear(l Limit, relay bool, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	record, found := r.records[l.process]
@@ -235,19 +246,32 @@
 		record = r.add(l.process, now)
 	}
 	changed := record.named != l.named || l.named && record.perSecond != l.perSecond
-	record.perSecond, record.named, record.at = l.perSecond, l.named, at
+	record.perSecond, record.named, record.at, record.toldPerSecond = l.perSecond, l.named, at, l.perSecond
+	if relay {
+		record.ownAt = at
+	}
 	return changed
 }
 
 // Observations returns what this entry itself has observed of late, the newest
 // first, at most most of them.
 func (r *RateLimiter) Observations(most int, now time.Time) []Limit {
+	return r.observed(most, now, func(*limitRecord) bool { return true })
+}
+
+// Changes returns the observations that showed the start, the end or a change of a
+// limit. There are few of them, so that they can be told to entries far away.
+func (r *RateLimiter) Changes(most int, now time.Time) []Limit {
+	return r.observed(most, now, func(l *limitRecord) bool { return now.Sub(l.changedAt) < changeTime })
+}
+
+func (r *RateLimiter) observed(most int, now time.Time, match func(*limitRecord) bool) []Limit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var recent []Limit
 	for process, record := range r.records {
 		// A later observation of another entry may say something else.
-		if age := now.Sub(record.ownAt); age < observationTime && !record.at.After(record.ownAt) {
+		if age := now.Sub(record.ownAt); age < observationTime && !record.at.After(record.ownAt) && match(record) {
 			recent = append(recent, NewLimit(process, record.perSecond, record.named, age))
 		}
 	}
@@ -268,6 +292,19 @@
 	return record.perSecond, true
 }
 
+// Size returns how many processes name a limit.
+func (r *RateLimiter) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, record := range r.records {
+		if record.named {
+			n++
+		}
+	}
+	return n
+}
+
 // Wait returns after which time this entry may send the target a request, 0 if it
 // may now.
 func (r *RateLimiter) Wait(m *fleet.Member, now time.Time) time.Duration {
--- a/pace/rate_test.go
+++ b/pace/rate_test.go
@@ -120,7 +120,7 @@
 	const ms = time.Millisecond
 	hear := func(perSecond float64, named bool, age time.Duration) func(*pace.RateLimiter, time.Time) {
 		return func(r *pace.RateLimiter, now time.Time) {
-			r.Hear(pace.NewLimit(m.Process(), perSecond, named, age), now)
+			r.Hear(pace.NewLimit(m.Process(), perSecond, named, age), false, now)
 		}
 	}
 	name := func(perSecond float64) func(*pace.RateLimiter, time.Time) {
--- a/peers/instances.go
+++ b/peers/instances.go
@@ -233,6 +233,24 @@
 	return m.nearestSeeds()
 }
 
+// OneOfEachOtherZone returns a random registered instance of each of the other
+// availability zones.
+func (m *Instances) OneOfEachOtherZone() []place.Instance {
+	byZone := map[place.Zone][]place.Instance{}
+	m.mu.Lock()
+	for name, r := range m.instances {
+		if zone := r.instance.Zone(); zone != m.self.Zone {
+			byZone[zone] = append(byZone[zone], name)
+		}
+	}
+	m.mu.Unlock()
+	chosen := make([]place.Instance, 0, len(byZone))
+	for _, names := range byZone {
+		chosen = append(chosen, names[rand.IntN(len(names))])
+	}
+	return chosen
+}
+
 // Size returns how many instances are registered, including this one.
 func (m *Instances) Size() int {
 	m.mu.Lock()
