Log a fingerprint that all attempts at a request share

Sends that fail now carry a hash of the caller's cookies and credentials, method, host, path and body.

--- a/front/note.go
+++ b/front/note.go
@@ -27,6 +27,9 @@
 	fieldService = "service"
 )
 
+// fieldFingerprint is the log field that all attempts at a request share.
+const fieldFingerprint = "fingerprint"
+
 // fieldLimit is the log field for the limit that a target names, in requests per
 // second.
 const fieldLimit = "per_second"
@@ -119,6 +122,7 @@
 	}
 	if err != nil {
 		fields["why"] = errs.AsRefusal(err).Message()
+		fields[fieldFingerprint] = q.fingerprint()
 	}
 	s.log.WithFields(fields).Info("A target had a request.")
 }
--- a/front/request.go
+++ b/front/request.go
@@ -13,6 +13,7 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/hold"
 	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/poison"
 	"github.com/endivechute/endivechute/route"
 	"github.com/endivechute/endivechute/sender"
 )
@@ -51,11 +52,23 @@
 	table          *route.Table
 	// share counts the bytes that are buffered for the request.
 	share *hold.Share
+	// fingerprintValue is computed on the first use, because few requests need it.
+	fingerprintValue poison.Fingerprint
+	fingerprinted    bool
 	// sampled is set if an attempt that succeeded was logged, so that the
 	// answer is logged too.
 	sampled bool
 }
 
+// fingerprint returns the fingerprint that all attempts at the request have.
+func (q *request) fingerprint() poison.Fingerprint {
+	if !q.fingerprinted {
+		q.fingerprintValue = poison.FingerprintOf(q.body, q.http.Method, q.http.Host, q.http.URL.RequestURI(), q.head.Caller())
+		q.fingerprinted = true
+	}
+	return q.fingerprintValue
+}
+
 // ServeHTTP serves one request of a client.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
