Quarantine requests under which three targets crash

Callers saw 502 and 503. The first hypothesis holds: nothing connected a crash with the request. Sends break with EOF and the next connection is refused at once, which rules out connections that are reset on the way.

poison.Guard keeps, by the fingerprint of the caller, method, host, path and body, which processes crashed under a request. When a connection breaks before an answer, one more connection shows whether the port is closed; a target that leaves doesn't count. What an instance saw goes at once to the others of its zone and to one of each other zone, which tells it on; the crashes of all add up. Any answer clears a request, and the crashes of a quarantined request aren't held against those that ran beside it. A quarantined request is refused as not run for 10 minutes; one more crash then begins a longer quarantine. An instance that saw a crash stores the quarantine with its own object in the platform's store, which every new process reads. 1,024 requests, 8 crashes of each and 32 in a message are kept at most.

--- a/errs/verdict.go
+++ b/errs/verdict.go
@@ -78,6 +78,7 @@
 	ReasonNoWitness     Reason = "no-witness"
 	ReasonStopping      Reason = "stopping"
 	ReasonNotReady      Reason = "not-ready"
+	ReasonQuarantined   Reason = "quarantined"
 	ReasonCanceled      Reason = "canceled"
 )
 
--- a/front/dump.go
+++ b/front/dump.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/poison"
 )
 
 // Dump is the state of a process that /dump shows to operators.
@@ -28,6 +29,7 @@
 	Registered     int                `json:"registered_instances"`
 	HeldBytes      int64              `json:"held_bytes"`
 	HeldBytesMax   int64              `json:"held_bytes_max"`
+	Quarantined    []poison.State     `json:"quarantined"`
 	Targets        []pick.TargetState `json:"targets"`
 }
 
@@ -39,7 +41,7 @@
 		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), LimitedTargets: s.rateLimiter.Size(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
-		Targets: s.chooser.States(view, now),
+		Quarantined: s.guard.States(now), Targets: s.chooser.States(view, now),
 	}
 	if table := s.feed.Table(); table != nil {
 		d.Version, d.Routes = table.Version(), table.Routes()
--- a/front/limit_test.go
+++ b/front/limit_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 type testInstance struct {
 	server  *front.Server
 	address string
+	// stop stops the instance and waits for its end.
+	stop func()
 }
 
 // startInstance starts an instance in a zone, which is named by its region and a
@@ -36,17 +39,18 @@
 		t.Fatal(err)
 	}
 	i := testInstance{server: front.New(settings, "", time.Now, logs.Discard()), address: fmt.Sprintf("127.0.0.1:%d", port)}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	var running conc.WaitGroup
+	i.stop = sync.OnceFunc(func() {
+		cancel()
+		running.Wait()
+	})
 	running.Go(func() {
 		if err := i.server.Run(ctx); err != nil {
 			t.Error(err)
 		}
 	})
-	t.Cleanup(func() {
-		stop()
-		running.Wait()
-	})
+	t.Cleanup(i.stop)
 	return i
 }
 
--- a/front/note.go
+++ b/front/note.go
@@ -27,6 +27,9 @@
 	fieldService = "service"
 )
 
+// fieldPeer is the log field for another instance.
+const fieldPeer = "peer"
+
 // fieldFingerprint is the log field that all attempts at a request share.
 const fieldFingerprint = "fingerprint"
 
--- a/front/poison_test.go
+++ b/front/poison_test.go
@@ -7,11 +7,15 @@
 	"testing"
 	"time"
 
+	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/platform/fakes"
 )
 
-// poisonPath is the path of the requests under which targets crash.
-const poisonPath = "/read/poison"
+// Targets crash under requests of this caller for this path.
+const (
+	poisonPath   = "/read/poison"
+	poisonCaller = "7"
+)
 
 // crashTimes makes the targets crash under requests for poisonPath, and records when
 // such requests reach one and when one crashes. Crashed targets are back after a
@@ -26,7 +30,8 @@
 	for i, target := range targets {
 		born := 1
 		target.SetHandler(func(_ http.ResponseWriter, r *http.Request) bool {
-			if !strings.HasPrefix(r.URL.Path, poisonPath) || !target.Accepts(r) {
+			cookie, err := r.Cookie("X-Affinity-Key")
+			if r.URL.Path != poisonPath || err != nil || cookie.Value != poisonCaller || !target.Accepts(r) {
 				return false
 			}
 			c.reached.add()
@@ -45,9 +50,9 @@
 }
 
 // poison sends the request of a caller under which targets crash to an instance.
-func poison(t *testing.T, i testInstance, id, caller, body string) int {
+func poison(t *testing.T, i testInstance, id, caller string) int {
 	t.Helper()
-	r, err := fakes.NewRequest(t.Context(), "POST", i.address, poisonPath, id, caller, body, timeoutMillis)
+	r, err := fakes.NewRequest(t.Context(), "POST", i.address, poisonPath, id, caller, "body", timeoutMillis)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +81,7 @@
 	instances := newTestFleet(t, store, "a1", "a1", "a2", "b1")
 	began := time.Now()
 	for n := range repeats {
-		poison(t, instances[n%len(instances)], fmt.Sprintf("p%d", n), "7", "body")
+		poison(t, instances[n%len(instances)], fmt.Sprintf("p%d", n), poisonCaller)
 		time.Sleep(100 * time.Millisecond)
 	}
 	n := crashes.crashed.between(began, time.Now())
@@ -92,3 +97,83 @@
 		t.Errorf("statuses %v of other requests, want only successes", statuses)
 	}
 }
+
+// awaitQuarantine repeats the request under which targets crash until an instance
+// quarantines it.
+func awaitQuarantine(t *testing.T, instances []testInstance) {
+	t.Helper()
+	n := 0
+	eventually(t, 5*time.Second, "the request is quarantined", func() bool {
+		n++
+		i := instances[n%len(instances)]
+		poison(t, i, fmt.Sprintf("q%d", n), poisonCaller)
+		return len(i.server.Dump().Quarantined) > 0
+	})
+}
+
+// TestPoisonOfOneCaller checks that other callers' requests for the same path, with
+// the same body, and other requests of the same caller are served while a request is
+// quarantined.
+func TestPoisonOfOneCaller(t *testing.T) {
+	store, targets := newTestPlatform(t, 6)
+	newCrashTimes(store, targets)
+	instances := newTestFleet(t, store, "a1", "a1")
+	awaitQuarantine(t, instances)
+	for n, i := range instances {
+		eventually(t, 3*time.Second, fmt.Sprintf("instance %d knows", n), func() bool { return len(i.server.Dump().Quarantined) == 1 })
+		if status := poison(t, i, "p1", poisonCaller); status != http.StatusServiceUnavailable {
+			t.Errorf("instance %d: the quarantined request got status %d, want 503", n, status)
+		}
+		eventually(t, 3*time.Second, fmt.Sprintf("another caller's request is served by instance %d", n), func() bool {
+			return poison(t, i, "p2", "8") == http.StatusOK
+		})
+	}
+}
+
+// TestPoisonAfterRestart restarts all instances while a request is quarantined. The
+// new processes must know it from the platform's store.
+func TestPoisonAfterRestart(t *testing.T) {
+	store, targets := newTestPlatform(t, 6)
+	crashes := newCrashTimes(store, targets)
+	instances := newTestFleet(t, store, "a1", "b1")
+	awaitQuarantine(t, instances)
+	eventually(t, 5*time.Second, "the quarantine is stored", func() bool {
+		for _, name := range []string{"i1", "i2"} {
+			if strings.Contains(store.Spec(platform.KindInstances, name), "quarantined") {
+				return true
+			}
+		}
+		return false
+	})
+	for _, i := range instances {
+		i.stop()
+	}
+	instances = newTestFleet(t, store, "a1", "b1")
+	began := time.Now()
+	for n := range 20 {
+		poison(t, instances[n%len(instances)], fmt.Sprintf("r%d", n), poisonCaller)
+	}
+	if n := crashes.reached.between(began, time.Now()); n > 0 {
+		t.Errorf("after a restart of all instances the request reached targets %d times, want none", n)
+	}
+}
+
+// TestBrokenConnectionsBlameNobody breaks the connections of a request time after
+// time, while all targets go on. It must not be quarantined.
+func TestBrokenConnectionsBlameNobody(t *testing.T) {
+	w := newTestEnv(t)
+	w.handleAll(func(_ *fakes.Target, rw http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path == "/health" {
+			return false
+		}
+		hijack(rw, "")
+		return true
+	})
+	for n := range 8 {
+		w.do(t, "POST", "/read/x", fmt.Sprintf("r%d", n))
+	}
+	time.Sleep(100 * time.Millisecond)
+	if got := w.server.Dump().Quarantined; len(got) > 0 {
+		t.Errorf("quarantined are %v, want none", got)
+	}
+}
--- a/front/request.go
+++ b/front/request.go
@@ -240,6 +240,9 @@
 	budget.AddRequest(q.arrived)
 	state := &retryState{request: q}
 	for {
+		if err := s.checkQuarantine(q, s.now()); err != nil {
+			return state.result(err)
+		}
 		attempt, err := s.choose(service, q, state)
 		if err != nil {
 			return state.result(err)
--- a/front/send.go
+++ b/front/send.go
@@ -146,6 +146,7 @@
 	now := s.now()
 	outcome := outcomeOf(answer, err)
 	attempt.Done(outcome, loadReport(answer), client.DialTime(), now)
+	s.judgeRequest(q, m, answer, err, now)
 	if answer.Status() != http.StatusMisdirectedRequest {
 		s.observeTarget(m, answer, attempt.At(), now)
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -29,6 +29,7 @@
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
+	"github.com/endivechute/endivechute/poison"
 	"github.com/endivechute/endivechute/route"
 	"github.com/endivechute/endivechute/socket"
 	"github.com/endivechute/endivechute/wait"
@@ -52,6 +53,10 @@
 	chooser       *pick.Chooser
 	coldLimiter   *pace.ColdLimiter
 	rateLimiter   *pace.RateLimiter
+	guard         *poison.Guard
+	crashChecks   *crashChecks
+	crashTasks    conc.WaitGroup
+	newsReady     chan struct{}
 	held          *hold.Budget
 	targetClients *targetClients
 	logQuota      *logs.Quota
@@ -76,7 +81,7 @@
 	instances := peers.NewInstances(self, pool, heartbeats, now)
 	s := &Server{
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
+		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), guard: poison.NewGuard(), crashChecks: newCrashChecks(), newsReady: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
@@ -88,6 +93,7 @@
 	s.chooser = pick.New(settings.Zone(), s.coldLimiter, pace.NewRegionLimiter(settings.Bounds().ShiftMax()), s.rateLimiter)
 	s.feed.OnView(s.onViewChange)
 	heartbeats.SetNotices(s.addNotices)
+	instances.OnChange(s.adoptQuarantined)
 	return s
 }
 
@@ -180,6 +186,8 @@
 	peerServer.Close()
 	s.pool.Close()
 	s.store.Close()
+	s.cancelSends()
+	s.crashTasks.Wait()
 	tasks.Wait()
 	s.log.WithField("instance", s.self.Instance).Info("Stopped.")
 	return err
@@ -281,18 +289,20 @@
 const registerPause = time.Second
 
 // register keeps this instance stored as an object in the store, where the others
-// find it, until ctx ends. A store that was restored from a copy may lack it. The
+// find it and the requests that it quarantined, until ctx ends. A store that was restored from a copy may lack it. The
 // object remains when the process ends, because the next process has the same
 // addresses.
 func (s *Server) register(ctx context.Context) {
-	own := platform.NewInstance(s.self.Instance, s.self.Zone, s.settings().Addresses().Clients(), s.settings().Addresses().Peers())
-	registeredIn, registered := uint64(0), false
+	addresses := s.settings().Addresses()
+	var registered platform.Instance
+	registeredIn := uint64(0)
 	for ctx.Err() == nil {
 		era := s.feed.Era()
-		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (!registered || era != registeredIn) {
+		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now()))
+		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (registered != own || era != registeredIn) {
 			err := s.store.Put(ctx, platform.KindInstances, string(own.Name()), own.Spec())
 			if err == nil {
-				registeredIn, registered = era, true
+				registeredIn, registered = era, own
 			} else {
 				s.log.WithError(err).Warn("Registering this instance in the store failed; other instances don't know it yet.")
 			}
--- a/front/share.go
+++ b/front/share.go
@@ -11,6 +11,7 @@
 	"github.com/endivechute/endivechute/pace"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -35,6 +36,7 @@
 		heartbeat.Left = append(heartbeat.Left, wire.LeavingTarget{Target: process.Target(), Born: process.Born()})
 	}
 	heartbeat.Limits = limitsToWire(s.rateLimiter.Observations(limitsMax, s.now()))
+	heartbeat.Suspects = s.suspectsToWire()
 }
 
 // limitsToWire returns the limits as a heartbeat holds them.
@@ -48,36 +50,68 @@
 	return told
 }
 
-// runNews tells the other availability zones the news of targets until ctx ends, one
-// instance of each, which tells the others of its zone.
+// newsPause is the least time between two rounds of news.
+const newsPause = 50 * time.Millisecond
+
+// signalNews starts a round of news without waiting for the next heartbeat.
+func (s *Server) signalNews() {
+	select {
+	case s.newsReady <- struct{}{}:
+	default:
+	}
+}
+
+// runNews tells the other availability zones the news of targets and of suspected
+// requests until ctx ends: one instance of each, which tells the others of its zone.
+// Within the zone heartbeats do that, unless signalNews says that there is no time.
 func (s *Server) runNews(ctx context.Context) {
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	for wait.Sleep(ctx, peers.HeartbeatInterval) {
-		news := &wire.Heartbeat{Instance: s.self.Instance, Incarnation: s.self.Incarnation, Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now()))}
-		if len(news.Limits) == 0 {
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	ticker := time.NewTicker(peers.HeartbeatInterval)
+	defer ticker.Stop()
+	for wait.Sleep(ctx, newsPause) {
+		urgent := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.newsReady:
+			urgent = true
+		case <-ticker.C:
+		}
+		news := &wire.Heartbeat{
+			Instance: s.self.Instance, Incarnation: s.self.Incarnation, Leaving: s.shuttingDown.Load(),
+			Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now())), Suspects: s.suspectsToWire(),
+		}
+		if len(news.Limits) == 0 && len(news.Suspects) == 0 {
 			continue
 		}
-		for _, peer := range s.instances.OneOfEachOtherZone() {
-			tasks.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, peers.HeartbeatInterval)
-				defer cancel()
-				if _, err := s.instances.Call(ctx, peer, news); err != nil {
-					s.log.WithError(err).WithField("peer", peer).Debug("Telling another availability zone the news of targets failed.")
-				}
-			})
+		receivers := s.instances.OneOfEachOtherZone()
+		if urgent {
+			receivers = append(receivers, s.instances.InZone()...)
+		}
+		for _, peer := range receivers {
+			calls.Go(func() { s.tellNews(ctx, peer, news) })
 		}
 	}
 }
 
+func (s *Server) tellNews(ctx context.Context, peer place.Instance, news *wire.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, peers.HeartbeatInterval)
+	defer cancel()
+	if _, err := s.instances.Call(ctx, peer, news); err != nil {
+		s.log.WithError(err).WithField(fieldPeer, peer).Debug("Telling another instance the news of targets failed.")
+	}
+}
+
 // takeNotices takes in what another instance's heartbeat tells of targets.
 func (s *Server) takeNotices(from wire.Hello, heartbeat *wire.Heartbeat) {
 	s.observe(heartbeat.Slow)
 	s.hearLimits(heartbeat, from.Zone != s.self.Zone)
+	s.hearSuspects(heartbeat, from.Zone != s.self.Zone)
 	for _, left := range heartbeat.Left {
 		m, found := s.feed.View().Member(left.Target)
 		if found && m.Process().Born() == left.Born && s.feed.MarkLeaving(m.Process()) {
-			s.log.WithFields(logrus.Fields{fieldTarget: left.Target, "peer": heartbeat.Instance}).Info("Another instance tells that a target leaves.")
+			s.log.WithFields(logrus.Fields{fieldTarget: left.Target, fieldPeer: heartbeat.Instance}).Info("Another instance tells that a target leaves.")
 		}
 	}
 }
@@ -93,7 +127,7 @@
 		}
 		limit := pace.NewLimit(m.Process(), perSecond, l.Named, time.Duration(l.AgeMillis)*time.Millisecond)
 		if s.rateLimiter.Hear(limit, relay, s.now()) {
-			s.log.WithFields(logrus.Fields{fieldTarget: l.Target, fieldLimit: perSecond, "named": l.Named, "peer": heartbeat.Instance}).Info("Another instance tells of the limit of a target.")
+			s.log.WithFields(logrus.Fields{fieldTarget: l.Target, fieldLimit: perSecond, "named": l.Named, fieldPeer: heartbeat.Instance}).Info("Another instance tells of the limit of a target.")
 		}
 	}
 }
--- a/front/stats.go
+++ b/front/stats.go
@@ -21,6 +21,7 @@
 	leaving         prometheus.Counter
 	pauses          prometheus.Counter
 	limited         prometheus.Counter
+	quarantined     prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -68,7 +69,10 @@
 	s.limited = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_limited_answers_total", Help: "Answers in which a target named a limit on its requests.",
 	})
-	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited)
+	s.quarantined = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "endivechute_quarantined_requests_total", Help: "Requests that were quarantined, because targets crashed under them.",
+	})
+	s.registry.MustRegister(s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
--- a/peers/instances.go
+++ b/peers/instances.go
@@ -36,6 +36,8 @@
 	instances map[place.Instance]registration
 	// seeds holds the instances that Resolve discovered.
 	seeds map[place.Instance]seed
+	// onChange, if set, is called when the registered instances have changed.
+	onChange func([]platform.Instance)
 	// turn is the position of this instance among the registered ones.
 	turn atomic.Pointer[pace.Turn]
 }
@@ -67,10 +69,17 @@
 	return m.pool.Call(ctx, instance, message)
 }
 
+// OnChange sets a function that is called with the registered instances, this one
+// included, each time that they have changed. It must be called before SetInstances.
+func (m *Instances) OnChange(call func([]platform.Instance)) { m.onChange = call }
+
 // SetInstances replaces the instances by those that are registered in the
 // platform's store. Instances of this availability zone get heartbeats from
 // then on.
 func (m *Instances) SetInstances(instances []platform.Instance) {
+	if m.onChange != nil {
+		m.onChange(instances)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.instances
--- a/wire/message.go
+++ b/wire/message.go
@@ -116,6 +116,27 @@
 	// Limits lists limits on their requests that targets named in answers to the
 	// sender, or ceased to name.
 	Limits []TargetLimit `msgpack:"limits,omitempty"`
+	// Suspects lists requests that targets had when they crashed.
+	Suspects []Suspect `msgpack:"suspects,omitempty"`
+}
+
+// Suspect is a request, by its fingerprint, that targets had when they crashed.
+// Cleared is true if a target answered it ClearedAgeMillis ago.
+type Suspect struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads the tag
+
+	Fingerprint      uint64
+	Crashes          []Crash
+	Cleared          bool
+	ClearedAgeMillis int64
+}
+
+// Crash is the crash of a target's process, by a hash of its name and start.
+type Crash struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads the tag
+
+	Process   uint64
+	AgeMillis int64
 }
 
 // TargetLimit is a limit on the requests to a target from all instances together.
