Quarantine requests under which targets crash on the own interface

The guard is the one of front. An entry's heartbeats go to all others, so that the crashes that keepers see add up without relays; the check stands where a request enters and before a keeper sends it. The code that both share moves to sender (has the target crashed?) and peers (suspects in heartbeats). An instance that tells of fewer crashes than a quarantine needs is told of it again, so that one that starts later learns it with one crash at most; there is no store for that here.

TestKeeperSendsPoisonOn failed before (13 times later than 3 s after the third crash, 3 allowed) and passes. The stand-in of targets learns to crash under a path.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/endivechute/endivechute/once"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/poison"
 	"github.com/endivechute/endivechute/relay"
 	"github.com/endivechute/endivechute/roster"
 	"github.com/endivechute/endivechute/store"
@@ -49,6 +50,7 @@
 	budgets    budgets
 	limits     *limits
 	blocks     *block.Set
+	guard      *poison.Guard
 	view       atomic.Pointer[view]
 	leaving    atomic.Bool
 	inFlight   atomic.Int64
@@ -60,7 +62,7 @@
 func New(self wire.Hello, seeds map[place.Instance]string, platform store.Store, pool *peers.Pool, heartbeats *peers.Heartbeats, now func() time.Time, logger *logrus.Logger) *Entry {
 	e := &Entry{
 		self: self, seeds: seeds, pool: pool, heartbeats: heartbeats, now: now, log: logs.ForComponent(logger, "entry"),
-		stats: NewStats(), blocks: block.New(),
+		stats: NewStats(), blocks: block.New(), guard: poison.NewGuard(),
 	}
 	e.once = once.New(ticket.NewID(self.Instance, self.Incarnation), ticket.DefaultLimits(), peerNetwork{pool: pool, heartbeats: heartbeats, now: now}, e, now, logs.ForComponent(logger, "once"))
 	e.relay = relay.New(self, config.NewTables(self.Zone.Region(), objectChecks()), platform, pool, e.relayView, now, logs.ForComponent(logger, "relay"))
@@ -68,6 +70,7 @@
 	e.roster = roster.NewFollower(platform, pool, e.rosterSources, now, logs.ForComponent(logger, "roster"))
 	e.roster.OnChange(e.applyRoster)
 	e.stats.registry.MustRegister(&e.budgets, e.once)
+	heartbeats.SetNotices(func(h *wire.Heartbeat) { h.Suspects = peers.SuspectNews(e.guard, e.now()) })
 	e.limits = newLimits(e)
 	e.applyRoster(store.Roster{})
 	return e
@@ -95,6 +98,7 @@
 	}
 	switch m := message.(type) {
 	case *wire.Heartbeat:
+		e.hearSuspects(m)
 		return e.heartbeats.Ack()
 	case *wire.Forward:
 		return e.handleForward(ctx, peer, m)
--- a/entry/route.go
+++ b/entry/route.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := e.checkQuarantine(r); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	return serve(ctx, policy)
--- a/entry/steer.go
+++ b/entry/steer.go
@@ -298,6 +298,9 @@
 	if k == nil || client == nil {
 		return nil, e.targetMissing(name)
 	}
+	if err := e.checkQuarantine(r); err != nil {
+		return nil, err
+	}
 	deadline := e.limits.clock() + r.deadline.Sub(e.now())
 	permit, err := k.acquireSlot(ctx, deadline)
 	if err != nil {
@@ -311,6 +314,7 @@
 	answer, err := client.Do(ctx, targetRequest(policy, r))
 	e.observeLimit(k, name, answer, sent)
 	e.limits.releaseSlot(ctx, name, k, permit, outcomeOf(err, !policy.NonIdempotent(r.method, r.pathWithoutQuery())))
+	e.judgeRequest(ctx, k, name, client, r, answer, err)
 	if err != nil {
 		return nil, err
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -54,7 +54,6 @@
 	coldLimiter   *pace.ColdLimiter
 	rateLimiter   *pace.RateLimiter
 	guard         *poison.Guard
-	crashChecks   *crashChecks
 	crashTasks    conc.WaitGroup
 	newsReady     chan struct{}
 	held          *hold.Budget
@@ -81,7 +80,7 @@
 	instances := peers.NewInstances(self, pool, heartbeats, now)
 	s := &Server{
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), guard: poison.NewGuard(), crashChecks: newCrashChecks(), newsReady: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
+		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), guard: poison.NewGuard(), newsReady: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
--- a/front/share.go
+++ b/front/share.go
@@ -36,7 +36,7 @@
 		heartbeat.Left = append(heartbeat.Left, wire.LeavingTarget{Target: process.Target(), Born: process.Born()})
 	}
 	heartbeat.Limits = limitsToWire(s.rateLimiter.Observations(limitsMax, s.now()))
-	heartbeat.Suspects = s.suspectsToWire()
+	heartbeat.Suspects = peers.SuspectNews(s.guard, s.now())
 }
 
 // limitsToWire returns the limits as a heartbeat holds them.
@@ -80,7 +80,7 @@
 		}
 		news := &wire.Heartbeat{
 			Instance: s.self.Instance, Incarnation: s.self.Incarnation, Leaving: s.shuttingDown.Load(),
-			Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now())), Suspects: s.suspectsToWire(),
+			Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now())), Suspects: peers.SuspectNews(s.guard, s.now()),
 		}
 		if len(news.Limits) == 0 && len(news.Suspects) == 0 {
 			continue
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -13,10 +13,10 @@
 	"github.com/endivechute/endivechute/place"
 )
 
-// setFaults replaces the faults of a target; body is a stub.Faults as JSON.
-func (f *fleet) setFaults(t *testing.T, target place.Target, body string) {
+// setFaults replaces the faults of the target of the search desk; body is a stub.Faults as JSON.
+func (f *fleet) setFaults(t *testing.T, body string) {
 	t.Helper()
-	response, err := http.Post("http://"+f.targets.Addr(target)+"/control/faults", "application/json", strings.NewReader(body))
+	response, err := http.Post("http://"+f.targets.Addr("desk-a")+"/control/faults", "application/json", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +67,7 @@
 	)
 	f := newFleet(t)
 	for _, value := range []string{"5", "soon"} {
-		f.setFaults(t, "desk-a", fmt.Sprintf(`{"limit":%q}`, value))
+		f.setFaults(t, fmt.Sprintf(`{"limit":%q}`, value))
 		f.sendFor(t, time.Second)
 		from := time.Now()
 		f.sendFor(t, window)
@@ -75,7 +75,7 @@
 			t.Errorf("limit %q: %d requests in %v, want %d to %d", value, n, window, 2*limit, most)
 		}
 	}
-	f.setFaults(t, "desk-a", `{}`)
+	f.setFaults(t, `{}`)
 	f.sendFor(t, time.Second)
 	from := time.Now()
 	f.sendFor(t, time.Second)
--- /dev/null
+++ b/node/poison_test.go
@@ -0,0 +1,70 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/load"
+	"github.com/endivechute/endivechute/stub"
+)
+
+// TestKeeperSendsPoisonOn guards against keepers that go on sending a request under
+// which their targets crash.
+func TestKeeperSendsPoisonOn(t *testing.T) {
+	const (
+		window      = 3 * time.Second
+		arrivalsMax = 3
+		crashesMax  = 3
+		path        = "/s/" + string(desk) + "/poison"
+	)
+	f := newFleet(t)
+	f.setFaults(t, `{"crash_path":"/poison"}`)
+	send := func(prefix string, n int, caller string) int {
+		status, _, _, _ := f.send(t, n%2, http.MethodGet, path, map[string]string{
+			"X-Request-Id": fmt.Sprint(prefix, n), "Cookie": "caller=" + caller, "Endivechute-Deadline-Ms": "200",
+		}, "")
+		return status
+	}
+	n := 0
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		n++
+		send("poison-", n, "1")
+	}
+	var log stub.Log
+	await(t, func() bool {
+		var err error
+		log, err = load.ReadLog(f.targets.Addr("desk-a"))
+		return err == nil
+	})
+	var times []int64
+	for _, e := range log.Executions {
+		if strings.HasPrefix(e.Request, "poison-") {
+			times = append(times, e.BeganMillis)
+		}
+	}
+	slices.Sort(times)
+	if len(times) < crashesMax {
+		t.Fatalf("the request ran %d times, want %d or more", len(times), crashesMax)
+	}
+	late := 0
+	for _, at := range times {
+		if at > times[crashesMax-1]+window.Milliseconds() {
+			late++
+		}
+	}
+	if late > arrivalsMax {
+		t.Errorf("the request ran %d times later than %v after the third crash, want at most %d", late, window, arrivalsMax)
+	}
+	f.setFaults(t, `{}`)
+	for caller, want := range map[string]int{"1": http.StatusServiceUnavailable, "2": http.StatusOK} {
+		for i := range 2 {
+			if status := send("last-", i, caller); status != want {
+				t.Errorf("caller %s got status %d from entry %d, want %d", caller, status, i, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/peers/suspects.go
@@ -0,0 +1,44 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/endivechute/endivechute/poison"
+	"github.com/endivechute/endivechute/wire"
+)
+
+// suspectsMax limits the suspects in a heartbeat, which then take up to 4 KB of it.
+const suspectsMax = 32
+
+// SuspectNews returns what a heartbeat tells of requests that targets had when they
+// crashed.
+func SuspectNews(guard *poison.Guard, now time.Time) []wire.Suspect {
+	news := guard.News(suspectsMax, now)
+	suspects := make([]wire.Suspect, 0, len(news))
+	for _, n := range news {
+		told := wire.Suspect{Fingerprint: uint64(n.Fingerprint), Cleared: n.Cleared, ClearedAgeMillis: n.ClearedAge.Milliseconds()}
+		for _, c := range n.Crashes {
+			told.Crashes = append(told.Crashes, wire.Crash{Process: c.Process, AgeMillis: c.Age.Milliseconds()})
+		}
+		suspects = append(suspects, told)
+	}
+	return suspects
+}
+
+// HearSuspects takes in the suspects in another instance's heartbeat. It reports
+// whether any of it is new, and which requests are quarantined from now on. If relay
+// is set, what is new is told on.
+func HearSuspects(guard *poison.Guard, heartbeat *wire.Heartbeat, relay bool, now time.Time) (changed bool, quarantined []poison.Fingerprint) {
+	for _, told := range heartbeat.Suspects[:min(len(heartbeat.Suspects), suspectsMax)] {
+		heard := poison.Suspect{Fingerprint: poison.Fingerprint(told.Fingerprint), Cleared: told.Cleared, ClearedAge: time.Duration(told.ClearedAgeMillis) * time.Millisecond}
+		for _, c := range told.Crashes {
+			heard.Crashes = append(heard.Crashes, poison.Crash{Process: c.Process, Age: time.Duration(c.AgeMillis) * time.Millisecond})
+		}
+		isNew, isQuarantined := guard.Hear(heard, relay, now)
+		changed = changed || isNew
+		if isQuarantined {
+			quarantined = append(quarantined, heard.Fingerprint)
+		}
+	}
+	return changed, quarantined
+}
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -150,9 +150,11 @@
 	}
 	if changed {
 		g.releaseCovered(r, now)
-		if relay {
-			r.changedAt = now
-		}
+	}
+	// An instance that tells of fewer crashes has missed the quarantine, as one that
+	// started later has.
+	if relay && changed || r.held(now) && 0 < len(s.Crashes) && len(s.Crashes) < crashesMax {
+		r.changedAt = now
 	}
 	return changed, g.judge(r, now)
 }
--- a/poison/guard_test.go
+++ b/poison/guard_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// TestLateStarterIsTold has an instance that missed a quarantine tell of a crash. The
+// others must tell it what they know, long after that was news.
+func TestLateStarterIsTold(t *testing.T) {
+	old, late, now := poison.NewGuard(), poison.NewGuard(), start
+	for process := range uint64(3) {
+		old.Blame(f1, process, now)
+	}
+	now = now.Add(time.Minute)
+	late.Blame(f1, 9, now)
+	for _, s := range late.News(32, now) {
+		old.Hear(s, false, now)
+	}
+	for _, s := range old.News(32, now) {
+		late.Hear(s, false, now)
+	}
+	if late.Held(f1, now) == 0 {
+		t.Error("the instance doesn't quarantine the request")
+	}
+}
+
 // TestBystanders repeats one request under which targets crash among many that run
 // beside it. Each of the others that breaks is sent to another target, where it may
 // meet the first one again. That one must be quarantined by its third crash, and
--- a/sender/client.go
+++ b/sender/client.go
@@ -53,8 +53,9 @@
 	// stated in a Keep-Alive header, or 0 if it has stated none.
 	keepAliveTimeout atomic.Int64
 	// dialTime is the duration of the last dial, in nanoseconds.
-	dialTime atomic.Int64
-	dials    atomic.Int64
+	dialTime    atomic.Int64
+	dials       atomic.Int64
+	crashChecks crashChecks
 }
 
 // New returns a Client for the target that listens on the address. connections
--- a/stub/control.go
+++ b/stub/control.go
@@ -31,6 +31,9 @@
 	// Limit, if set, is the value of the header Server-Limit in all answers, the
 	// requests per second that the target takes. Nothing beyond it is rejected.
 	Limit string `json:"limit"`
+	// CrashPath, if set, is the path of requests under which the target crashes: it
+	// closes its port and all connections, and listens again after crashTime.
+	CrashPath string `json:"crash_path"`
 }
 
 // Execution is a request that a target started to run. Times are in Unix
--- a/stub/serve.go
+++ b/stub/serve.go
@@ -24,6 +24,8 @@
 	headerLimit    = "Server-Limit"
 	coldFactor     = 4
 	queueWaitMax   = time.Minute
+	// crashTime is how long the port of a crashed target stays closed.
+	crashTime = 300 * time.Millisecond
 )
 
 // Echo is the body of the answer to a request that ran.
@@ -55,6 +57,10 @@
 		return
 	}
 	t.execute(r)
+	if t.crashesUnder(r) {
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	t.answer(w, r, body)
 }
 
@@ -64,6 +70,12 @@
 	return t.faults.Down
 }
 
+func (t *target) crashesUnder(r *http.Request) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.faults.CrashPath != "" && r.URL.Path == t.faults.CrashPath
+}
+
 func (t *target) namedLimit() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/stub/stub.go
+++ b/stub/stub.go
@@ -78,13 +78,17 @@
 // serve uses net/http, and not fasthttp as elsewhere, because a target has to
 // cancel a request when its connection is closed, which fasthttp does not detect.
 func (s *Stub) serve(t *target, listener net.Listener) {
-	t.server = &http.Server{Handler: t.handler(), ReadHeaderTimeout: headerTimeout, ConnState: t.trackConnection}
 	t.address = listener.Addr().String()
-	s.serving.Go(func() {
-		if err := t.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.logger.WithError(err).Errorf("Target %s stopped serving.", t.name)
-		}
-	})
+	t.start = func(listener net.Listener) {
+		server := &http.Server{Handler: t.handler(), ReadHeaderTimeout: headerTimeout, ConnState: t.trackConnection}
+		t.server = server
+		s.serving.Go(func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				s.logger.WithError(err).Errorf("Target %s stopped serving.", t.name)
+			}
+		})
+	}
+	t.start(listener)
 	s.logger.Infof("Target %s listens on %s.", t.name, t.address)
 }
 
@@ -94,13 +98,51 @@
 // Close closes all listeners and connections and waits for the servers to stop.
 func (s *Stub) Close() {
 	for _, t := range s.targets {
-		if t.server != nil {
-			_ = t.server.Close()
-		}
+		t.close()
 	}
 	s.serving.Wait()
 }
 
+// crash closes the port and all connections of the target, and opens the port again
+// after crashTime.
+func (t *target) crash() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.down || t.closed {
+		return
+	}
+	t.down = true
+	// Close waits for the lock, which trackConnection takes.
+	go func(server *http.Server) { _ = server.Close() }(t.server)
+	time.AfterFunc(crashTime, t.restart)
+}
+
+func (t *target) restart() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		return
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", t.address)
+	if err != nil {
+		time.AfterFunc(crashTime, t.restart)
+		return
+	}
+	t.down = false
+	t.start(listener)
+}
+
+func (t *target) close() {
+	t.mutex.Lock()
+	server := t.server
+	t.closed = true
+	t.mutex.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
 // target is a simulated target. mutex guards the fields below it.
 type target struct {
 	name        place.Target
@@ -110,19 +152,23 @@
 	slotsMax    int
 	slots       chan struct{}
 	address     string
-	server      *http.Server
-
-	mutex       sync.Mutex
-	faults      Faults
-	coldUntil   time.Time
-	leavingAt   time.Time
-	frozenLoad  loadReport
-	waiting     int
-	running     int
-	mostRunning int
-	shed        int
-	connections map[net.Conn]bool
-	log         []Execution
+	// start serves the listener.
+	start func(net.Listener)
+
+	mutex  sync.Mutex
+	server *http.Server
+	// down is true after a crash, closed after Close.
+	down, closed bool
+	faults       Faults
+	coldUntil    time.Time
+	leavingAt    time.Time
+	frozenLoad   loadReport
+	waiting      int
+	running      int
+	mostRunning  int
+	shed         int
+	connections  map[net.Conn]bool
+	log          []Execution
 }
 
 func newTarget(name place.Target, config Config) *target {
