Store a quarantine as soon as it begins

An instance stored the requests that it quarantined up to a second later, so that a fleet whose processes all ended within that second had to learn them anew from three more crashes. A new quarantine now starts the next registration at once.

--- a/front/crash.go
+++ b/front/crash.go
@@ -56,6 +56,10 @@
 
 func (s *Server) logQuarantine(f poison.Fingerprint, fields logrus.Fields) {
 	s.stats.quarantined.Inc()
+	select {
+	case s.quarantineChanged <- struct{}{}:
+	default:
+	}
 	s.log.WithFields(fields).WithField(fieldFingerprint, f).Warn("A request is quarantined, because targets crashed under it.")
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -38,27 +38,30 @@
 
 // Server is one entry process on the users' platform.
 type Server struct {
-	current       atomic.Pointer[platform.Settings]
-	metricsPort   string
-	started       time.Time
-	now           func() time.Time
-	log           *logrus.Logger
-	stats         *stats
-	self          wire.Hello
-	store         *platform.Store
-	pool          *peers.Pool
-	heartbeats    *peers.Heartbeats
-	instances     *peers.Instances
-	feed          *feed.Feed
-	chooser       *pick.Chooser
-	coldLimiter   *pace.ColdLimiter
-	rateLimiter   *pace.RateLimiter
-	guard         *poison.Guard
-	crashTasks    conc.WaitGroup
-	newsReady     chan struct{}
-	held          *hold.Budget
-	targetClients *targetClients
-	logQuota      *logs.Quota
+	current     atomic.Pointer[platform.Settings]
+	metricsPort string
+	started     time.Time
+	now         func() time.Time
+	log         *logrus.Logger
+	stats       *stats
+	self        wire.Hello
+	store       *platform.Store
+	pool        *peers.Pool
+	heartbeats  *peers.Heartbeats
+	instances   *peers.Instances
+	feed        *feed.Feed
+	chooser     *pick.Chooser
+	coldLimiter *pace.ColdLimiter
+	rateLimiter *pace.RateLimiter
+	guard       *poison.Guard
+	crashTasks  conc.WaitGroup
+	newsReady   chan struct{}
+	// quarantineChanged makes register store a quarantine without a pause, as the
+	// process may end at any moment.
+	quarantineChanged chan struct{}
+	held              *hold.Budget
+	targetClients     *targetClients
+	logQuota          *logs.Quota
 
 	shuttingDown   atomic.Bool
 	activeRequests atomic.Int64
@@ -80,7 +83,7 @@
 	instances := peers.NewInstances(self, pool, heartbeats, now)
 	s := &Server{
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), guard: poison.NewGuard(), newsReady: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
+		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(), guard: poison.NewGuard(), newsReady: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
@@ -306,6 +309,10 @@
 				s.log.WithError(err).Warn("Registering this instance in the store failed; other instances don't know it yet.")
 			}
 		}
-		wait.Sleep(ctx, registerPause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause):
+		case <-s.quarantineChanged:
+		}
 	}
 }
