--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -7,7 +7,7 @@
 	"github.com/endivechute/endivechute/wire"
 )
 
-// suspectsMax limits the suspects in a heartbeat, which then take up to 4 KB of it.
+// suspectsMax limits the suspects in a heartbeat, which then take up to 6 KB of it.
 const suspectsMax = 32
 
 // SuspectNews returns what a heartbeat tells of requests that targets had when they
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -53,6 +53,7 @@
 		}
 	}
 	made.Store = made.store.address()
+	made.clients.swallowed = func() { r.beginDisturbance(n.Name+silentConnection, "a silent connection swallows bytes")() }
 	return made, os.WriteFile(made.path("conf"), []byte(made.Lines()), 0o644)
 }
 
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -21,6 +21,11 @@
 	// an answer if the request reached no target.
 	unansweredTolerance = 200 * time.Millisecond
 	cancelTolerance     = 500 * time.Millisecond
+	// silentConnection follows an instance's name in the disturbances by bytes of
+	// a client that a silent connection swallowed, silentTolerance at most after
+	// the client wrote them.
+	silentConnection = " silent connection"
+	silentTolerance  = 50 * time.Millisecond
 	// maxCancelViolations is how many requests of a run may exceed cancelTolerance.
 	maxCancelViolations = 3
 	maxAttempts         = 2
@@ -53,6 +58,7 @@
 	checkBudget(t, arrivals)
 	checkNotices(t, r, known)
 	checkLimits(t, r, known)
+	checkPoison(t, r, known)
 }
 
 // The platform's rule on limits: in such a window a target may get limitFactor times
@@ -211,6 +217,10 @@
 	if c.ended == 0 || c.sent == 0 || !r.undisturbed(c.begun-stabilityWindow, c.ended, c.node, testMachine) {
 		return
 	}
+	// A client may use a connection long after it fell silent.
+	if !r.undisturbed(c.begun, c.sent+silentTolerance, c.node+silentConnection) {
+		return
+	}
 	took := c.ended - c.sent
 	switch {
 	case c.status > 0 && took > routeTimeout+timeoutTolerance, c.canceled && took > routeTimeout+timeoutTolerance:
--- a/soak/record_test.go
+++ b/soak/record_test.go
@@ -26,6 +26,9 @@
 	err                error
 	// canceled is set if the client canceled the call or its timeout passed.
 	canceled bool
+	// poison is the same for all attempts at a request under which targets crash,
+	// "" for other requests.
+	poison string
 }
 
 // arrival is one request as it reached a target.
@@ -46,6 +49,8 @@
 	// second, 0 if it named none, and limitNamed when it did.
 	limit      float64
 	limitNamed time.Duration
+	// crashed is when the target crashed under the request, 0 if it did not.
+	crashed time.Duration
 }
 
 // change is a change of the configuration or a drain of a target, with the time
@@ -67,6 +72,7 @@
 	arrivals      []*arrival
 	configChanges []change
 	drains        []change
+	crashes       []change
 	disturbances  map[string][]interval
 	timeline      []string
 }
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -45,6 +45,9 @@
 	waiting             atomic.Int64
 	behavior            atomic.Pointer[behavior]
 	born                int
+	crashing            atomic.Bool
+	// restarted is called when another process of the target has started.
+	restarted func()
 	// leaving is set once the target was chosen to crash or to drain; no other
 	// fault is injected into it from then on.
 	leaving bool
@@ -73,6 +76,12 @@
 	}
 	a := &arrival{id: fakes.RequestID(r.Header), target: t.name, service: t.service, at: t.record.now()}
 	t.record.update(func() { t.record.arrivals = append(t.record.arrivals, a) })
+	if r.URL.Path == poisonPath {
+		time.Sleep(targetServiceTime)
+		t.record.update(func() { a.ran, a.crashed = true, t.record.now() })
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	conduct := t.behavior.Load()
 	if conduct.announces {
 		w.Header().Set("Server-Leaving", "1")
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -40,6 +40,7 @@
 	version       int
 	era           int
 	targetsAdded  int
+	poisons       int
 }
 
 func newTestbed(t *testing.T, seed uint64, directory string) *testbed {
@@ -134,6 +135,14 @@
 	if err != nil {
 		panic(err)
 	}
+	made.restarted = func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		made.born++
+		if made.state != "" {
+			w.putLocked(made, made.state)
+		}
+	}
 	w.targets = append(w.targets, made)
 	w.putLocked(made, fakes.Ready)
 	return made
--- /dev/null
+++ b/wire/message_size_test.go
@@ -0,0 +1,52 @@
+package wire
+
+import (
+	"math"
+	"testing"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+// TestHeartbeatBounded checks the size of a heartbeat that tells of as many targets
+// and requests as one may.
+func TestHeartbeatBounded(t *testing.T) {
+	const (
+		most    = 32
+		crashes = 8
+		name    = place.Target("i-0123456789")
+		born    = int64(1764811731000)
+	)
+	tests := map[string]struct {
+		fill     func(*Heartbeat)
+		bytesMax int
+	}{
+		"nothing": {func(*Heartbeat) {}, 128},
+		"limits": {func(h *Heartbeat) {
+			for range most {
+				h.Limits = append(h.Limits, TargetLimit{Target: name, Born: born, PerSecond: 12.5, Named: true, AgeMillis: 1500})
+			}
+		}, 1536},
+		"suspects": {func(h *Heartbeat) {
+			for range most {
+				s := Suspect{Fingerprint: math.MaxUint64, Cleared: true, ClearedAgeMillis: math.MaxInt32}
+				for range crashes {
+					s.Crashes = append(s.Crashes, Crash{Process: math.MaxUint64, AgeMillis: math.MaxInt32})
+				}
+				h.Suspects = append(h.Suspects, s)
+			}
+		}, 6 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Heartbeat{Instance: "front-bog-a-1", Incarnation: math.MaxUint64}
+			test.fill(h)
+			payload, err := marshal(h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(payload) > test.bytesMax {
+				t.Errorf("the heartbeat has %d bytes, want at most %d", len(payload), test.bytesMax)
+			}
+		})
+	}
+}
