End the news of a quarantine that was only adopted, and keep it across a first registration

Two instances that had adopted a quarantine from the store and knew fewer than three of its crashes told each other of one crash without end, with each heartbeat: each took the other for one that had missed the quarantine. An instance now tells only what it knows more. TestNewsEnds failed before (2 requests still told after 10 s) and passes.

A new process computed its first registration from what it had adopted so far. Had it done so between the loading of the instances and their adoption, its object would have lost the quarantines of the process before; it now adopts its own object first. That was not seen to happen.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -421,13 +421,20 @@
 // KnowsInstances reports whether the registered instances are known.
 func (f *Feed) KnowsInstances() bool { return f.mirrors[platform.KindInstances].isLoaded() }
 
-// IsRegistered reports whether the store has the instance with exactly these
-// values. A registration that a restored store lacks doesn't count.
-func (f *Feed) IsRegistered(own platform.Instance) bool {
+// Registered returns the instance as it is registered in the store, and whether it
+// is.
+func (f *Feed) Registered(name place.Instance) (platform.Instance, bool) {
 	for _, o := range f.mirrors[platform.KindInstances].stored() {
-		if registered, err := platform.DecodeInstance(o); err == nil && registered == own {
-			return true
+		if registered, err := platform.DecodeInstance(o); err == nil && registered.Name() == name {
+			return registered, true
 		}
 	}
-	return false
+	return platform.Instance{}, false
+}
+
+// IsRegistered reports whether the store has the instance with exactly these
+// values. A registration that a restored store lacks doesn't count.
+func (f *Feed) IsRegistered(own platform.Instance) bool {
+	registered, found := f.Registered(own.Name())
+	return found && registered == own
 }
--- a/front/server.go
+++ b/front/server.go
@@ -291,15 +291,22 @@
 const registerPause = time.Second
 
 // register keeps this instance stored as an object in the store, where the others
-// find it and the requests that it quarantined, until ctx ends. A store that was restored from a copy may lack it. The
-// object remains when the process ends, because the next process has the same
-// addresses.
+// find it and the requests that it quarantined, until ctx ends. A store that was
+// restored from a copy may lack it. The object remains when the process ends, because
+// the next process has the same addresses.
 func (s *Server) register(ctx context.Context) {
 	addresses := s.settings().Addresses()
 	var registered platform.Instance
-	registeredIn := uint64(0)
+	registeredIn, adopted := uint64(0), false
 	for ctx.Err() == nil {
 		era := s.feed.Era()
+		if s.feed.KnowsInstances() && !adopted {
+			// The first registration must not drop what the previous process stored.
+			if previous, found := s.feed.Registered(s.self.Instance); found {
+				s.adoptQuarantined([]platform.Instance{previous})
+			}
+			adopted = true
+		}
 		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now()))
 		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (registered != own || era != registeredIn) {
 			err := s.store.Put(ctx, platform.KindInstances, string(own.Name()), own.Spec())
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -151,9 +151,10 @@
 	if changed {
 		g.releaseCovered(r, now)
 	}
-	// An instance that tells of fewer crashes has missed the quarantine, as one that
-	// started later has.
-	if relay && changed || r.held(now) && 0 < len(s.Crashes) && len(s.Crashes) < crashesMax {
+	// An instance that tells of fewer crashes than a quarantine needs has missed it, as
+	// one that started later has. It is told what this one knows more.
+	missed := r.held(now) && 0 < len(s.Crashes) && len(s.Crashes) < min(crashesMax, len(r.crashes))
+	if relay && changed || missed {
 		r.changedAt = now
 	}
 	return changed, g.judge(r, now)
--- a/poison/guard_test.go
+++ b/poison/guard_test.go
@@ -181,6 +181,28 @@
 	}
 }
 
+// TestNewsEnds has two instances that adopted a quarantine from the store tell each
+// other of a crash. They must come to an end.
+func TestNewsEnds(t *testing.T) {
+	one, two, now := poison.NewGuard(), poison.NewGuard(), start
+	for _, g := range []*poison.Guard{one, two} {
+		g.Adopt(f1, false, now)
+	}
+	one.Blame(f1, 1, now)
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		for _, s := range one.News(32, now) {
+			two.Hear(s, false, now)
+		}
+		for _, s := range two.News(32, now) {
+			one.Hear(s, false, now)
+		}
+	}
+	if told := len(one.News(32, now)) + len(two.News(32, now)); told > 0 {
+		t.Errorf("%d requests are still told 10 s later, want none", told)
+	}
+}
+
 // TestBystanders repeats one request under which targets crash among many that run
 // beside it. Each of the others that breaks is sent to another target, where it may
 // meet the first one again. That one must be quarantined by its third crash, and
