Ignore an infinite limit in another instance's heartbeat

Found by reading: a limit that isn't finite would have left a bucket without a number of tokens. Limits in answers were checked already. TestHeardLimit has the case; it isn't seen to fail before, because no limit and an infinite one admit the same requests there.

--- a/front/limit_test.go
+++ b/front/limit_test.go
@@ -297,6 +297,7 @@
 		"an unknown one":  {wire.TargetLimit{Target: "t9", Born: 1, PerSecond: 1, Named: true}, false},
 		"a negative one":  {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: -1, Named: true}, false},
 		"not a number":    {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: math.NaN(), Named: true}, false},
+		"infinite":        {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: math.Inf(1), Named: true}, false},
 		"end of a limit":  {wire.TargetLimit{Target: "t1", Born: 1}, false},
 		"an old one, 9 s": {wire.TargetLimit{Target: "t1", Born: 1, PerSecond: 1, Named: true, AgeMillis: 9000}, true},
 	}
--- a/front/share.go
+++ b/front/share.go
@@ -122,7 +122,7 @@
 	for _, l := range heartbeat.Limits {
 		m, found := s.feed.View().Member(l.Target)
 		perSecond := l.PerSecond
-		if !found || m.Process().Born() != l.Born || math.IsNaN(perSecond) || perSecond < 0 {
+		if !found || m.Process().Born() != l.Born || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
 			continue
 		}
 		limit := pace.NewLimit(m.Process(), perSecond, l.Named, time.Duration(l.AgeMillis)*time.Millisecond)
