Let a test of invalid eras begin when the era is known

Feed.Era is the earliest era of all kinds of objects, 0 until each is loaded. The test waited for a target only, so that a kind that was read later could find the invalid era in its first reply, which is rejected.

--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -115,7 +115,7 @@
 			store.SetEra("7")
 			store.Put("servers", "t1", targetSpec)
 			f := start(t, store, "i1", &fakePeers{live: []place.Instance{"i1"}})
-			eventually(t, 3*time.Second, "a target", func() bool { return f.View().Size() == 1 })
+			eventually(t, 3*time.Second, "a target and the era", func() bool { return f.View().Size() == 1 && f.Era() == 7 })
 			store.SetEra(era)
 			store.Put("servers", "t2", targetSpec)
 			if name != "falling" {
