Tell of a crash at once only from the second one under a request on

A crash makes suspects of all requests that ran at the target. Each instance told them at once to its zone and to one of each other zone, which did the same: a message to 24 instances every 50 ms at each of 145. One crash is no hurry; it now goes with the heartbeats. The tests of the poison request pass twice.

--- a/front/crash.go
+++ b/front/crash.go
@@ -41,10 +41,12 @@
 	if !found || present.Process() != m.Process() {
 		return
 	}
-	defer s.signalNews()
 	if s.guard.Blame(f, processHash(m.Process()), s.now()) {
 		s.logQuarantine(f, logrus.Fields{fieldTarget: m.Target(), fieldService: m.Service()})
 	}
+	if s.guard.Repeated(f) {
+		s.signalNews()
+	}
 }
 
 // processHash returns a hash of a target's process that is the same at all instances.
@@ -78,11 +80,11 @@
 // hearSuspects takes in the suspected requests in another instance's heartbeat. If
 // relay is set, what is new is told on at once.
 func (s *Server) hearSuspects(heartbeat *wire.Heartbeat, relay bool) {
-	changed, quarantined := peers.HearSuspects(s.guard, heartbeat, relay, s.now())
+	urgent, quarantined := peers.HearSuspects(s.guard, heartbeat, relay, s.now())
 	for _, f := range quarantined {
 		s.logQuarantine(f, logrus.Fields{fieldPeer: heartbeat.Instance})
 	}
-	if changed && relay {
+	if urgent && relay {
 		s.signalNews()
 	}
 }
--- a/peers/suspects.go
+++ b/peers/suspects.go
@@ -26,19 +26,19 @@
 }
 
 // HearSuspects takes in the suspects in another instance's heartbeat. It reports
-// whether any of it is new, and which requests are quarantined from now on. If relay
+// whether it is new of a request that more than one target crashed under, and which requests are quarantined from now on. If relay
 // is set, what is new is told on.
-func HearSuspects(guard *poison.Guard, heartbeat *wire.Heartbeat, relay bool, now time.Time) (changed bool, quarantined []poison.Fingerprint) {
+func HearSuspects(guard *poison.Guard, heartbeat *wire.Heartbeat, relay bool, now time.Time) (urgent bool, quarantined []poison.Fingerprint) {
 	for _, told := range heartbeat.Suspects[:min(len(heartbeat.Suspects), suspectsMax)] {
 		heard := poison.Suspect{Fingerprint: poison.Fingerprint(told.Fingerprint), Cleared: told.Cleared, ClearedAge: time.Duration(told.ClearedAgeMillis) * time.Millisecond}
 		for _, c := range told.Crashes {
 			heard.Crashes = append(heard.Crashes, poison.Crash{Process: c.Process, Age: time.Duration(c.AgeMillis) * time.Millisecond})
 		}
 		isNew, isQuarantined := guard.Hear(heard, relay, now)
-		changed = changed || isNew
+		urgent = urgent || isNew && guard.Repeated(heard.Fingerprint)
 		if isQuarantined {
 			quarantined = append(quarantined, heard.Fingerprint)
 		}
 	}
-	return changed, quarantined
+	return urgent, quarantined
 }
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -85,6 +85,15 @@
 // Size returns how many requests are kept.
 func (g *Guard) Size() int { return int(g.size.Load()) }
 
+// Repeated reports whether more than one target crashed under the request. A single
+// crash makes suspects of all requests that ran beside it, which is no hurry.
+func (g *Guard) Repeated(f Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, found := g.records[f]
+	return found && len(r.crashes) > 1
+}
+
 // Blame records that a process crashed while it had the request, and reports whether
 // the request is quarantined from now on.
 func (g *Guard) Blame(f Fingerprint, process uint64, now time.Time) bool {
