--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -13,7 +13,8 @@
 	"github.com/endivechute/endivechute/place"
 )
 
-// setFaults replaces the faults of the target of the search desk; body is a stub.Faults as JSON.
+// setFaults replaces the faults that the target desk-a simulates. body is a
+// stub.Faults as JSON.
 func (f *fleet) setFaults(t *testing.T, body string) {
 	t.Helper()
 	response, err := http.Post("http://"+f.targets.Addr("desk-a")+"/control/faults", "application/json", strings.NewReader(body))
--- a/pace/rate.go
+++ b/pace/rate.go
@@ -65,7 +65,7 @@
 // Bucket is the token bucket of a sender. The zero value is empty.
 type Bucket struct{ tokens float64 }
 
-// Refill adds the tokens for the time that has passed since the last call.
+// Refill adds the tokens of the given time, which has passed since the last call.
 func (b *Bucket) Refill(s Share, passed time.Duration) {
 	b.tokens = min(b.tokens+s.perSecond*max(passed, 0).Seconds(), s.burst)
 }
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -14,8 +14,8 @@
 	// is quarantined. Other requests that run at a target when it crashes are
 	// suspected as well, but rarely at that many.
 	crashesMax = 3
-	// quarantineTime is how long a request is quarantined. After that, one more crash
-	// is enough for the next time.
+	// quarantineTime is how long a request is quarantined for the first time. Then it
+	// may run again, and a single crash begins a longer quarantine.
 	quarantineTime = 10 * time.Minute
 	// crashMemory is how long a crash is held against a request.
 	crashMemory = 10 * time.Minute
--- a/wire/message.go
+++ b/wire/message.go
@@ -121,7 +121,8 @@
 }
 
 // Suspect is a request, by its fingerprint, that targets had when they crashed.
-// Cleared is true if a target answered it ClearedAgeMillis ago.
+// Cleared is true if a target has answered it since, ClearedAgeMillis ago, which
+// lifts the suspicion.
 type Suspect struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the codec reads the tag
 
