--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -105,7 +105,8 @@
 // its idle routes.
 func (m *memoryCase) configure() error {
 	m.version += 3
-	routes := []routeSpec{{"loan-placement", pathOrder, kindOnce, ledgerService, orderWait, orderAim}}
+	routes := make([]routeSpec, 0, idleRoutes+1)
+	routes = append(routes, routeSpec{"loan-placement", pathOrder, kindOnce, ledgerService, orderWait, orderAim})
 	for i := range idleRoutes {
 		routes = append(routes, routeSpec{fmt.Sprintf("r-%04d", i), fmt.Sprintf("/i%04d/", i), "idempotent", ledgerService, time.Duration(1000+m.version) * time.Millisecond, orderAim})
 	}
