--- a/review/stand/half.go
+++ b/review/stand/half.go
@@ -16,8 +16,9 @@
 	// greyShare is the share of requests that the endpoints reject for greyTime.
 	greyShare = 0.55
 	greyTime  = 8500 * time.Millisecond
-	// ordersPause is the time between two orders. The endpoints can run twice as many.
-	ordersPause = 200 * time.Millisecond
+	// ordersPause is the time between two orders. The endpoints can run three times as
+	// many.
+	ordersPause = 300 * time.Millisecond
 	calmTime    = 3 * time.Second
 
 	ledgerService = "loan-ledger"
