--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -14,6 +14,8 @@
 const (
 	// lookupUses is how many times the time to live of a look-up some clients use it.
 	lookupUses = 3
+	// obedientEach is of how many clients one uses it only for its time to live.
+	obedientEach = 4
 	// longWork is how long the endpoints work on a request, within what the sheet of
 	// page large/LATER.md names: 6.8 s in the mean for calendario-venc, 3.48 s in the
 	// mean and 10.44 s at most for orden-bono.
@@ -74,7 +76,11 @@
 	defer stop()
 	var tasks sync.WaitGroup
 	for i := range appsCount {
-		tasks.Go(func() { s.send(ctx, fmt.Sprint("app", i), float64(1+i%2*(lookupUses-1))) })
+		uses := float64(lookupUses)
+		if i%obedientEach == 0 {
+			uses = 1
+		}
+		tasks.Go(func() { s.send(ctx, fmt.Sprint("app", i), uses) })
 	}
 	time.Sleep(lookupSpread + longWork)
 	if trouble {
