--- a/review/stand/half.go
+++ b/review/stand/half.go
@@ -67,7 +67,7 @@
 	}
 	h.send(&orders, greyTime)
 	orders.Wait()
-	return h.judge(), nil
+	return h.judge()
 }
 
 // sheds reports whether an endpoint rejects a request.
@@ -95,7 +95,7 @@
 }
 
 // judge reports whether a client got a success that no endpoint gave.
-func (h *halfCase) judge() bool {
+func (h *halfCase) judge() (bool, error) {
 	whole, refused, mixed := 0, 0, 0
 	for _, c := range h.calls {
 		switch {
@@ -109,5 +109,5 @@
 		}
 	}
 	h.record.result("%d orders: %d with the endpoint's whole answer, %d refused or failed, %d with a success that no endpoint gave", len(h.calls), whole, refused, mixed)
-	return mixed > 0
+	return mixed > 0, checkServed(whole)
 }
--- a/review/stand/pipe.go
+++ b/review/stand/pipe.go
@@ -95,7 +95,7 @@
 		}
 	}
 	clients.Wait()
-	return p.judge(), nil
+	return p.judge()
 }
 
 // fetch fetches sheets over one connection, always two at a time, until the connection
@@ -146,21 +146,29 @@
 	return made, err != nil || response.Close
 }
 
+// plannedSlack is how long after the grace period a planned stop still counts.
+const plannedSlack = time.Second
+
+// isPlanned reports whether the planned stop was under way at a time.
+func (p *pipeCase) isPlanned(at time.Time) bool {
+	return !p.stopped.IsZero() && at.After(p.stopped) && at.Before(p.stopped.Add(smallBounds.grace+plannedSlack))
+}
+
 // judge reports whether an answer broke off that an endpoint had given whole.
-func (p *pipeCase) judge() bool {
+func (p *pipeCase) judge() (bool, error) {
 	whole, lost := 0, 0
 	for _, c := range p.calls {
 		switch {
 		case c.full && c.stamped:
 			whole++
-		case c.stamped && c.err != nil && !p.stopped.IsZero() && c.ended.Sub(c.sent) < sheetWait:
+		case c.stamped && c.err != nil && p.isPlanned(c.ended) && c.ended.Sub(c.sent) < sheetWait:
 			lost++
 			p.record.result("LOST: the answer to request %s, sent %v after SIGTERM, broke off %v after it: %v",
 				c.id, c.sent.Sub(p.stopped).Round(time.Millisecond), c.ended.Sub(p.stopped).Round(time.Millisecond), errors.UnwrapAll(c.err))
 		}
 	}
 	p.record.result("%d requests, %d with the endpoint's whole answer, %d answers broke off", len(p.calls), whole, lost)
-	return lost > 0
+	return lost > 0, checkServed(whole)
 }
 
 // sheet is the body of a long answer.
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -41,6 +41,15 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// checkServed returns an error if no request got its endpoint's whole answer, because a
+// case in which nothing is served shows nothing.
+func checkServed(whole int) error {
+	if whole == 0 {
+		return errors.New("no request got its endpoint's whole answer")
+	}
+	return nil
+}
+
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -90,7 +90,10 @@
 	}
 	stop()
 	tasks.Wait()
-	return s.judge(), err
+	if err != nil {
+		return false, err
+	}
+	return s.judge()
 }
 
 // roll stops and starts the instances one after the other, as the platform does.
@@ -161,7 +164,7 @@
 
 // judge reports whether a request was broken off at which an endpoint was at work,
 // although it was sent more than lateSince after SIGTERM.
-func (s *stopCase) judge() bool {
+func (s *stopCase) judge() (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	whole, late, lost := 0, 0, 0
@@ -183,5 +186,5 @@
 			c.id, after.Round(time.Millisecond), c.ended.Sub(stop.began).Round(time.Millisecond), c)
 	}
 	s.record.result("%d requests, %d with the endpoint's whole answer; %d ran that were sent more than %v after SIGTERM, %d of them were broken off", len(s.calls), whole, late, lateSince, lost)
-	return lost > 0
+	return lost > 0, checkServed(whole)
 }
