Refuse requests that a stopping instance would cut off

Cause: two bounds that don't know of each other. The clients' port stayed open for 4.5 s with a grace period of 10 s, since the TTL of look-ups grew with it; the platform excuses only what was sent within 3 s. And requests were admitted whatever time was left until the process cancels them.

Ruled out: the look-ups alone. With a TTL of 1 s a request still arrives late on a connection that was opened before the port closed; the test's first two cases are such requests.

A request that arrives later is refused as not run unless its deadline precedes the cancelation. For an earlier one the target is chosen by the time until then, so that one that is expected to take longer is refused at once too. A detour is given no more than that time.

--- a/front/detour.go
+++ b/front/detour.go
@@ -139,7 +139,7 @@
 	defer cancel()
 	defer context.AfterFunc(s.sendContext, cancel)()
 	began := s.now()
-	description := platform.Detour{Service: service, Route: q.route.Spec(), Left: q.deadline.Sub(began), Tried: t.tried}
+	description := platform.Detour{Service: service, Route: q.route.Spec(), Left: s.timeLeft(q.deadline, began), Tried: t.tried}
 	request, err := platform.NewDetourRequest(q.http, q.body, q.head.ID(), description, q.answerDeadline, answerBytesMax)
 	if err != nil {
 		return platform.DetourAnswer{}, errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
@@ -241,7 +241,7 @@
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNotReady, retryAfterMin, "this instance serves %d requests of others already", detoursMax))
 		return
 	}
-	if s.shuttingDown.Load() {
+	if s.shuttingDown() {
 		w.Header().Set("Connection", "close")
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonStopping, retryAfterMin, "this instance is about to stop"))
 		return
--- a/front/dump.go
+++ b/front/dump.go
@@ -39,7 +39,7 @@
 func (s *Server) Dump() Dump {
 	view, now := s.feed.View(), s.now()
 	d := Dump{
-		Instance: s.self.Instance, Zone: s.self.Zone, Ready: s.Ready(), Leaving: s.shuttingDown.Load(), Running: s.activeRequests.Load(),
+		Instance: s.self.Instance, Zone: s.self.Zone, Ready: s.Ready(), Leaving: s.shuttingDown(), Running: s.activeRequests.Load(),
 		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), LimitedTargets: s.rateLimiter.Size(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
--- /dev/null
+++ b/front/late_test.go
@@ -0,0 +1,107 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/platform/fakes"
+)
+
+// lateWait is the deadline of the requests below and the time-out of their routes, in
+// milliseconds. It is longer than the whole stop.
+const lateWait = 20_000
+
+// lateAnswer is the answer to a request that is sent while the instance stops.
+type lateAnswer struct {
+	status     int
+	retryAfter float64
+	took       time.Duration
+}
+
+// sendLate sends an order on a connection and returns the answer.
+func sendLate(t *testing.T, conn net.Conn, path, id string) lateAnswer {
+	t.Helper()
+	sent := time.Now()
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n%s%s\r\nX-Deadline-Ms: %d\r\nContent-Length: 4\r\n\r\nbody", path, fakes.RequestIDHeader, id, lateWait)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("request %s: %v", id, err)
+	}
+	_ = response.Body.Close()
+	answer := lateAnswer{status: response.StatusCode, took: time.Since(sent)}
+	answer.retryAfter, _ = strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return answer
+}
+
+// TestStopRefusesWhatItWouldCutOff guards against orders that a stopping instance
+// takes although they outlast it, and answers with 502 while a target is at work on
+// them.
+func TestStopRefusesWhatItWouldCutOff(t *testing.T) {
+	// The clients' port closes 3 s after the stop began, and what is still running is
+	// canceled after 7.7 s.
+	const grace = 8
+	for name, c := range map[string]struct {
+		// known is the work of the requests before the stop, from which the instance
+		// learns how long a request takes.
+		known, work time.Duration
+		// opened and sent are when the connection is opened and the request sent, from
+		// the start of the stop on.
+		opened, sent time.Duration
+		path         string
+		want         int
+	}{
+		"late and too long":               {known: 10 * time.Millisecond, work: 6 * time.Second, opened: 2800 * time.Millisecond, sent: 3100 * time.Millisecond, path: "/write/x", want: http.StatusServiceUnavailable},
+		"late and too long, idempotent":   {known: 10 * time.Millisecond, work: 6 * time.Second, opened: 2800 * time.Millisecond, sent: 3100 * time.Millisecond, path: "/read/x", want: http.StatusServiceUnavailable},
+		"early, but known to be too long": {known: 6 * time.Second, work: 6 * time.Second, sent: 2500 * time.Millisecond, path: "/write/x", want: http.StatusServiceUnavailable},
+		"early and short enough":          {known: time.Second, work: time.Second, sent: 2500 * time.Millisecond, path: "/write/x", want: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestEnvWith(t, "contract_params.grace_period_s="+strconv.Itoa(grace)+"\n", fakes.Config(1, lateWait))
+			var work, lateRuns atomic.Int64
+			work.Store(int64(c.known))
+			w.handleAll(func(_ *fakes.Target, _ http.ResponseWriter, r *http.Request) bool {
+				if fakes.RequestID(r.Header) == "late" {
+					lateRuns.Add(1)
+				}
+				time.Sleep(time.Duration(work.Load()))
+				return false
+			})
+			var known conc.WaitGroup
+			for i := range 4 {
+				known.Go(func() { sendLate(t, dial(t, w.address()), "/write/x", fmt.Sprint("known", i)) })
+			}
+			known.Wait()
+			work.Store(int64(c.work))
+			began := time.Now()
+			w.stop()
+			time.Sleep(time.Until(began.Add(c.opened)))
+			conn := dial(t, w.address())
+			time.Sleep(time.Until(began.Add(c.sent)))
+			answer := sendLate(t, conn, c.path, "late")
+			if answer.status != c.want {
+				t.Errorf("status %d after %v, want %d", answer.status, answer.took, c.want)
+			}
+			if c.want == http.StatusOK {
+				return
+			}
+			if runs := lateRuns.Load(); runs > 0 {
+				t.Errorf("%d targets ran the request that was refused", runs)
+			}
+			if answer.took > 500*time.Millisecond || answer.retryAfter <= 0 || answer.retryAfter > 1 {
+				t.Errorf("the refusal took %v and says to come back after %v s; want both at once", answer.took, answer.retryAfter)
+			}
+		})
+	}
+}
--- a/front/leave.go
+++ b/front/leave.go
@@ -7,26 +7,69 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/socket"
 )
 
-// shutdownMargin is how long before the end of the grace period the process
-// cancels the requests that are still running, so that clients get their
+const (
+	// shutdownMargin is how long before the end of the grace period the process
+	// cancels the requests that are still running, so that clients get their
+	// answers.
+	shutdownMargin = 300 * time.Millisecond
+	// shutdownMarginFraction limits that to a part of the grace period. The platform
+	// blames the process for what it cancels before the last sixth.
+	shutdownMarginFraction = 6
+	// lateAfter is how long after SIGTERM a request may be sent for the platform to
+	// excuse the process for canceling it.
+	lateAfter = 3 * time.Second
+)
+
+// shutdownTimes are the times of a graceful shutdown.
+type shutdownTimes struct {
+	// portCloses is when the clients' port closes, because no look-up answer that
+	// names the process is in use any more.
+	portCloses time.Time
+	// late is when requests are no longer taken that may outlast the process.
+	late time.Time
+	// cancels is when the requests that are still running are canceled.
+	cancels time.Time
+}
+
+// planShutdown returns the times of a shutdown. lookupTTL is the TTL of the look-up
 // answers.
-const shutdownMargin = 300 * time.Millisecond
+func planShutdown(began time.Time, lookupTTL, gracePeriod time.Duration) shutdownTimes {
+	return shutdownTimes{
+		portCloses: began.Add(ttlOverrunFactor * lookupTTL),
+		late:       began.Add(lateAfter),
+		cancels:    began.Add(gracePeriod - min(shutdownMargin, gracePeriod/shutdownMarginFraction)),
+	}
+}
+
+// admits reports whether a request that may be answered until the given time is
+// taken. An early one is; whether a target is expected to answer it before the process
+// cancels it is known when the target is chosen. A late one must not outlast the process
+// whatever a target does.
+func (t shutdownTimes) admits(arrived, answerDeadline time.Time) bool {
+	return !arrived.After(t.late) || !answerDeadline.After(t.cancels)
+}
+
+// errStopping refuses a request that would outlast this process. Other instances can
+// serve it at once.
+func errStopping(why string) error {
+	return errs.NotRun(errs.ReasonStopping, retryAfterMin, "this instance is about to stop: %s", why)
+}
 
 // shutDown closes the clients' port gracefully. Requests are served as before
 // until all look-up answers that name this process have expired. Then the port
-// closes, and the requests that are running may finish until shutdownMargin
-// before the end of the grace period. It returns an error if the port can't be
-// closed.
+// closes, and the requests that are running may finish until shortly before the end of
+// the grace period. It returns an error if the port can't be closed.
 func (s *Server) shutDown(clientServer *http.Server, listener *socket.DrainListener) error {
-	began := s.now()
+	times := planShutdown(s.now(), s.lookupTTL(), s.settings().Bounds().GracePeriod())
 	s.log.WithField("running", s.activeRequests.Load()).Info("Shutting down.")
-	s.shuttingDown.Store(true)
+	s.shutdown.Store(&times)
 	s.heartbeats.SetLeaving()
-	time.Sleep(ttlOverrunFactor * s.lookupTTL())
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.settings().Bounds().GracePeriod()-shutdownMargin))
+	time.Sleep(times.portCloses.Sub(s.now()))
+	ctx, cancel := context.WithDeadline(context.Background(), times.cancels)
 	defer cancel()
 	// net/http's Shutdown would drop requests that it has just read.
 	err := listener.Drain(ctx)
@@ -38,3 +81,15 @@
 	}
 	return errors.Wrap(errors.CombineErrors(err, clientServer.Close()), "close the clients' port")
 }
+
+// shuttingDown reports whether the process is about to stop.
+func (s *Server) shuttingDown() bool { return s.shutdown.Load() != nil }
+
+// timeLeft returns the time until the deadline, or until the process cancels its
+// requests if that is earlier.
+func (s *Server) timeLeft(deadline, now time.Time) time.Duration {
+	if times := s.shutdown.Load(); times != nil {
+		deadline = earlier(deadline, times.cancels)
+	}
+	return deadline.Sub(now)
+}
--- a/front/request.go
+++ b/front/request.go
@@ -81,7 +81,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	if s.shuttingDown.Load() {
+	if s.shuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{http: r, head: platform.ReadRequestHead(r), arrived: s.now(), share: s.held.Share()}
@@ -150,6 +150,10 @@
 		q.deadline = earlier(q.deadline, clientDeadline)
 		q.answerDeadline = earlier(q.answerDeadline, clientDeadline)
 	}
+	if times := s.shutdown.Load(); times != nil && !times.admits(q.arrived, q.answerDeadline) {
+		s.writeRefusal(w, q, errStopping("the request could outlast it"))
+		return false
+	}
 	return s.readBody(w, q)
 }
 
--- a/front/send.go
+++ b/front/send.go
@@ -103,9 +103,12 @@
 		object = ""
 	}
 	attempt, err := s.chooser.Choose(s.feed.View().Members(service), pick.Query{
-		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: q.deadline.Sub(now),
+		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: s.timeLeft(q.deadline, now),
 		Allowed: q.route.AllowedIn, Tried: t.tried, ColdShare: s.coldShare,
 	}, now)
+	if err != nil && s.shuttingDown() {
+		return nil, errStopping(errs.AsRefusal(err).Message())
+	}
 	return attempt, err //nolint:wrapcheck // a refusal needs no more context
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -81,7 +81,8 @@
 	targetClients     *targetClients
 	logQuota          *logs.Quota
 
-	shuttingDown   atomic.Bool
+	// shutdown holds the times of the shutdown, nil before it begins.
+	shutdown       atomic.Pointer[shutdownTimes]
 	activeRequests atomic.Int64
 	// sendContext is canceled when the process aborts the requests that are
 	// still running.
@@ -143,7 +144,7 @@
 }
 
 // Ready reports whether clients may be sent to this process.
-func (s *Server) Ready() bool { return !s.shuttingDown.Load() && s.feed.Ready() }
+func (s *Server) Ready() bool { return !s.shuttingDown() && s.feed.Ready() }
 
 // retryBudget returns this entry's share of the retry budget of a service.
 func (s *Server) retryBudget(service place.Service) *pace.RetryBudget {
@@ -310,7 +311,7 @@
 	}
 	go func() {
 		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) && !s.shuttingDown.Load() {
+		if !errors.Is(err, http.ErrServerClosed) && !s.shuttingDown() {
 			s.log.WithError(err).WithField("port", p.name).Error("A port stopped serving.")
 		}
 	}()
--- a/front/share.go
+++ b/front/share.go
@@ -79,7 +79,7 @@
 		case <-ticker.C:
 		}
 		news := &wire.Heartbeat{
-			Instance: s.self.Instance, Incarnation: s.self.Incarnation, Leaving: s.shuttingDown.Load(),
+			Instance: s.self.Instance, Incarnation: s.self.Incarnation, Leaving: s.shuttingDown(),
 			Limits: limitsToWire(s.rateLimiter.Changes(limitsMax, s.now())), Suspects: peers.SuspectNews(s.guard, s.now()),
 		}
 		if len(news.Limits) == 0 && len(news.Suspects) == 0 {
