Let detours finish at a planned stop

Callers saw: 502 for a request that another instance had passed on, 50 ms after the clients' port of the stopping instance was closed, although a target was at work on it and the grace period had not ended.

Cause: the port for requests of other instances had a bound of its own, detourStopTime (50 ms), on the assumption that waiting for the clients' port takes longer than a request that was running.

Change: both ports are drained until the same time, shortly before the end of the grace period.

--- a/front/detour.go
+++ b/front/detour.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/place"
@@ -27,9 +25,6 @@
 	// the requests of others that this instance serves at once.
 	detourConnectionsMax = 64
 	detoursMax           = 256
-	// detourStopTime limits how long requests of others that are still running after the
-	// clients' port is closed may take.
-	detourStopTime = 50 * time.Millisecond
 	// detourIdleTimeout is longer than the senders keep idle connections.
 	detourIdleTimeout = time.Minute
 	// outOfReachRetryAfter is when a client should try again if no instance reaches the
@@ -202,29 +197,20 @@
 	s.log.WithFields(fields).Info("A request was passed on to another instance.")
 }
 
-// startDetours serves the requests of other instances at the address, if there is one.
-// They are refused once this instance is about to stop; stop is called when the clients'
-// port is closed, which takes longer than a request that was running then.
-func (s *Server) startDetours(address string) (stop func() error, err error) {
+// startDetours serves the requests of other instances at the address. found is false if
+// there is none. They are refused once this instance is about to stop.
+func (s *Server) startDetours(address string) (opened drainedPort, found bool, err error) {
 	if address == "" {
-		return func() error { return nil }, nil
+		return drainedPort{}, false, nil
 	}
 	p := port{"requests of other instances", address, http.HandlerFunc(s.serveDetour)}
 	tcp, err := listen(p)
 	if err != nil {
-		return nil, err
+		return drainedPort{}, false, err
 	}
 	listener := socket.NewDrainListener(tcp)
 	server := s.startServer(listener, p, route.Limits{HeaderTimeout: auxiliaryTimeout, IdleTimeout: detourIdleTimeout}, socket.TrackState)
-	return func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), detourStopTime)
-		defer cancel()
-		err := listener.Drain(ctx)
-		if errors.Is(err, context.DeadlineExceeded) || !listener.CloseIdle(ctx) {
-			err = nil
-		}
-		return errors.Wrap(errors.CombineErrors(err, server.Close()), "close the port for requests of other instances")
-	}, nil
+	return drainedPort{server, listener}, true, nil
 }
 
 // serveDetour serves a request that another instance passes on, because it doesn't
--- a/front/detour_test.go
+++ b/front/detour_test.go
@@ -579,3 +579,34 @@
 		return len(names(instances[0])) == 3 && len(names(instances[2])) == 3
 	})
 }
+
+// TestStopWaitsForDetours guards against an instance that stops and cuts off the
+// requests of others soon after its clients' port is closed, although there is time
+// left for them.
+func TestStopWaitsForDetours(t *testing.T) {
+	t.Parallel()
+	const (
+		wait = 5 * time.Second
+		// work ends after the clients' port is closed, 1 s after the stop began, and
+		// before the requests that are still running are canceled, 1.7 s after it.
+		work = 1300 * time.Millisecond
+	)
+	store, targets := newTestPlatform(t, 4)
+	store.Put("config", "main", fakes.Config(2, int(wait.Milliseconds())))
+	instances := cutFleet(t, store, "a1", "b1")
+	arrived := make(chan struct{})
+	logArrivals(targets, func(*fakes.Target, http.ResponseWriter, *http.Request) bool {
+		close(arrived)
+		time.Sleep(work)
+		return false
+	})
+	var client conc.WaitGroup
+	client.Go(func() {
+		if got := sendOne(t, instances[0], "/write/x", "s1", wait); got.status != http.StatusOK {
+			t.Errorf("status %d after %v, want 200", got.status, got.took)
+		}
+	})
+	<-arrived
+	instances[1].stop()
+	client.Wait()
+}
--- a/front/leave.go
+++ b/front/leave.go
@@ -59,11 +59,28 @@
 	return errs.NotRun(errs.ReasonStopping, retryAfterMin, "this instance is about to stop: %s", why)
 }
 
-// shutDown closes the clients' port gracefully. Requests are served as before
-// until all look-up answers that name this process have expired. Then the port
-// closes, and the requests that are running may finish until shortly before the end of
-// the grace period. It returns an error if the port can't be closed.
-func (s *Server) shutDown(clientServer *http.Server, listener *socket.DrainListener) error {
+// drainedPort is a port that is closed without cutting off requests.
+type drainedPort struct {
+	server   *http.Server
+	listener *socket.DrainListener
+}
+
+// drain closes the port as its connections become idle, until ctx ends. It reports
+// whether no request is left.
+func (p drainedPort) drain(ctx context.Context) (bool, error) {
+	// net/http's Shutdown would drop requests that it has just read.
+	err := p.listener.Drain(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return false, nil
+	}
+	return p.listener.CloseIdle(ctx), errors.Wrap(err, "drain a port")
+}
+
+// shutDown closes the ports for requests gracefully. Requests are served as before
+// until all look-up answers that name this process have expired. Then the ports
+// close, and the requests that are running may finish until shortly before the end of
+// the grace period. It returns an error if a port can't be closed.
+func (s *Server) shutDown(ports []drainedPort) error {
 	times := planShutdown(s.now(), s.lookupTTL(), s.settings().Bounds().GracePeriod())
 	s.log.WithField("running", s.activeRequests.Load()).Info("Shutting down.")
 	s.shutdown.Store(&times)
@@ -71,15 +88,20 @@
 	time.Sleep(times.portCloses.Sub(s.now()))
 	ctx, cancel := context.WithDeadline(context.Background(), times.cancels)
 	defer cancel()
-	// net/http's Shutdown would drop requests that it has just read.
-	err := listener.Drain(ctx)
-	if errors.Is(err, context.DeadlineExceeded) || !listener.CloseIdle(ctx) {
+	idle, err := true, error(nil)
+	for _, p := range ports {
+		portIdle, drainErr := p.drain(ctx)
+		idle, err = idle && portIdle, errors.CombineErrors(err, drainErr)
+	}
+	if !idle {
 		s.log.WithField("running", s.activeRequests.Load()).Warn("Requests are still running at the end of the grace period.")
 		s.cancelSends()
 		time.Sleep(shutdownMargin / 2)
-		err = nil
 	}
-	return errors.Wrap(errors.CombineErrors(err, clientServer.Close()), "close the clients' port")
+	for _, p := range ports {
+		err = errors.CombineErrors(err, p.server.Close())
+	}
+	return errors.Wrap(err, "close the ports for requests")
 }
 
 // shuttingDown reports whether the process is about to stop.
--- a/front/server.go
+++ b/front/server.go
@@ -264,13 +264,17 @@
 	}
 	clientListener := socket.NewDrainListener(listener)
 	clientServer := s.startServer(clientListener, port{"clients", addresses.Clients(), s}, s.feed.Table().Limits(), socket.TrackState)
-	stopDetours, err := s.startDetours(addresses.Detours())
+	requestPorts := []drainedPort{{clientServer, clientListener}}
+	detourPort, found, err := s.startDetours(addresses.Detours())
 	if err != nil {
 		return err
 	}
+	if found {
+		requestPorts = append(requestPorts, detourPort)
+	}
 	s.log.WithField("version", s.feed.Table().Version()).Info("Serving requests.")
 	<-ctx.Done()
-	return errors.CombineErrors(s.shutDown(clientServer, clientListener), stopDetours())
+	return s.shutDown(requestPorts)
 }
 
 // auxiliaryTimeout limits reading a header and idling on the ports that don't
