Take the age of the watcher's data from when the store last confirmed it

Cause: the instance that watches the store for its zone called its data current until a call failed. A cut link resets nothing, so a watch fails after the time that it waits and a second, 3 s; until then its followers were told an age of 0. The comparison with other zones, which tells the watcher of changes, doesn't tell it that it hears from nobody.

Ruled out: the followers' own timing. Their log shows that they left the watcher at the first answer with an age over 1 s; they were told it too late. A comparison by each follower would have found this cut, but not one that hits two watchers that compare with each other.

Change: the age counts from the last reply of the store, or from what an instance of another zone says of its own data. Watches of the targets wait for 0.5 s, so that the age stays well below the bound while the store answers. A follower whose data gets old asks for an earlier answer, and leaves the watcher when its data is 1.2 s old, also if that hangs.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -93,6 +93,7 @@
 	f.registry = fleet.NewRegistry(fleet.Timing{Heartbeat: settings.Bounds().Heartbeat(), ColdTime: f.coldTime})
 	f.view.Store(f.registry.View())
 	f.source.unconfirmedSince = now()
+	f.source.heardAt = f.source.unconfirmedSince
 	return f
 }
 
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -69,21 +69,33 @@
 	f.followingPeer.Store(true)
 	defer f.followingPeer.Store(false)
 	for ctx.Err() == nil && f.watcher() == peer {
-		if err := f.pullChanges(ctx, peer, followWait, peerAgeMax); err != nil {
+		if err := f.pullChanges(ctx, peer, f.nextFollowWait(peer), peerAgeMax); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// nextFollowWait returns how long an instance that is followed may wait for a change
+// before it answers.
+func (f *Feed) nextFollowWait(peer place.Instance) time.Duration {
+	if f.Source() != string(peer) {
+		// The first answer brings what happened meanwhile.
+		return followWaitMin
+	}
+	return min(max(peerAgeMax-followMargin-f.Age(), followWaitMin), followWait)
+}
+
 // pullChanges requests the changes of the given kinds, or of all, from an instance
 // once, and applies them if its data is recent enough.
 func (f *Feed) pullChanges(ctx context.Context, peer place.Instance, maxWait, ageMax time.Duration, only ...string) error {
+	asked := f.now()
 	response, request, err := f.callFollow(ctx, peer, maxWait, only...)
 	if err != nil {
 		return err
 	}
-	age := time.Duration(response.AgeMillis) * time.Millisecond
+	// The time that the call took beyond the wait adds to the age.
+	age := time.Duration(response.AgeMillis)*time.Millisecond + max(f.now().Sub(asked)-maxWait, 0)
 	if own := f.Era(); response.Era < own {
 		return errors.Newf("the data of instance %s is from era %d of the store, this instance's from era %d", peer, response.Era, own)
 	}
@@ -99,7 +111,7 @@
 // callFollow sends an instance a request for changes and returns its response
 // and the request.
 func (f *Feed) callFollow(ctx context.Context, peer place.Instance, maxWait time.Duration, only ...string) (*wire.Followed, *wire.Follow, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait+followTimeout-followWait)
+	ctx, cancel := context.WithTimeout(ctx, maxWait+followGrace)
 	defer cancel()
 	request := f.followRequest(maxWait, only...)
 	message, err := f.peers.Call(ctx, peer, request)
@@ -138,22 +150,34 @@
 		if f.Source() != storeSource || len(others) == 0 {
 			continue
 		}
+		asked := f.now()
 		response, request, err := f.callFollow(ctx, others[rand.IntN(len(others))], 0)
 		if err == nil && response.AgeMillis <= peerAgeMax.Milliseconds() {
 			f.applyFollowed(request, response)
+			if response.Era >= f.Era() {
+				f.confirmStoreData(time.Duration(response.AgeMillis)*time.Millisecond + f.now().Sub(asked))
+			}
 		}
 	}
 }
 
 // runFallback requests changes from other instances while the store doesn't
-// answer. It isn't needed while an instance is followed: that one answers only
-// when something changes, and followTimeout limits its silence.
+// answer, or while it isn't known whether it does. It isn't needed while an instance is
+// followed: that one answers only when something changes, and followGrace limits its
+// silence.
 func (f *Feed) runFallback(ctx context.Context) {
-	for wait.Sleep(ctx, fallbackInterval) {
-		if f.followingPeer.Load() || f.Age() < fallbackAfter {
+	for {
+		interval, ageMax := fallbackInterval, fallbackAfter
+		if f.watchesStore() {
+			interval, ageMax = ageCheckInterval, watcherAgeMax
+		}
+		if !wait.Sleep(ctx, interval) {
+			return
+		}
+		if f.followingPeer.Load() || f.Age() < ageMax {
 			continue
 		}
-		if err := f.fallBack(ctx); err != nil && f.Age() > peerAgeMax {
+		if err := f.fallBack(ctx); err != nil && f.Age() > peerAgeMax && !f.watchesStore() {
 			f.markUnconfirmed(err)
 		}
 	}
@@ -167,7 +191,7 @@
 		candidates = f.peers.Resolve(ctx, f.seeds)
 	}
 	for _, peer := range candidates {
-		if err = f.pullChanges(ctx, peer, 0, fallbackAfter); err == nil {
+		if err = f.pullChanges(ctx, peer, 0, min(f.Age(), peerAgeMax)); err == nil {
 			return nil
 		}
 	}
--- a/feed/source.go
+++ b/feed/source.go
@@ -23,10 +23,10 @@
 	// may wait. By the end of a longer wait, the store may have discarded the
 	// revision at which the watch began.
 	watchHistoryFraction = 0.75
-	// targetWatchWait is how long a watch of the targets waits. It limits the
-	// time until a store that stops answering is noticed, and until a watch
-	// that the store no longer serves ends.
-	targetWatchWait = 2 * time.Second
+	// targetWatchWait is how long a watch of the targets waits. Each reply shows that
+	// the data is current, so this and the pause between watches limit the age of the
+	// data while the store answers. They have to stay well below peerAgeMax.
+	targetWatchWait = 500 * time.Millisecond
 	// checkWatchWait is how long a watch waits that checks whether the store
 	// answers again.
 	checkWatchWait = 50 * time.Millisecond
@@ -40,13 +40,26 @@
 	// the store a call.
 	directWatchPause = 800 * time.Millisecond
 	// followWait is how long an instance that is followed waits for a change
-	// before it answers.
+	// before it answers, at most.
 	followWait = 500 * time.Millisecond
-	// followTimeout is how long an instance that is followed may take to
-	// answer. After that it is no longer followed.
-	followTimeout = followWait + 400*time.Millisecond
-	// peerAgeMax limits the age of the data of an instance that is followed.
-	peerAgeMax = time.Second
+	// followGrace is how long after that wait its answer may arrive. After that it is
+	// no longer followed.
+	followGrace = 400 * time.Millisecond
+	// followWaitMin and followMargin shorten the wait of a follower whose data is
+	// getting old: the answer is due followMargin before the data exceeds peerAgeMax,
+	// but not sooner than after followWaitMin.
+	followWaitMin = 50 * time.Millisecond
+	followMargin  = 200 * time.Millisecond
+	// peerAgeMax limits the age of the data of an instance that is followed. The
+	// followers of an instance that has lost the store, and can't know it yet, read the
+	// store themselves after that time. Those of one that hangs do so followGrace less
+	// followMargin later. Both fit into the shortest time limit in the platform's
+	// contracts, 2 s.
+	peerAgeMax = 1200 * time.Millisecond
+	// watcherAgeMax is the age of its data from which the instance that watches the
+	// store asks others. It is below peerAgeMax, so that its followers stay if one of
+	// the others has recent data.
+	watcherAgeMax = time.Second
 	// directWatchTime is how long a process watches the store itself after it
 	// failed to follow an instance.
 	directWatchTime = 5 * time.Second
@@ -72,11 +85,12 @@
 	joinZoneTime  = 300 * time.Millisecond
 	joinZonePeers = 2
 	// fallbackInterval is the time between two rounds of requests to other
-	// instances while the store doesn't answer.
+	// instances while the store doesn't answer, and ageCheckInterval that between two
+	// checks whether it does.
 	fallbackInterval = 250 * time.Millisecond
+	ageCheckInterval = 100 * time.Millisecond
 	// fallbackAfter is how long the data may be unconfirmed before other
-	// instances are asked. It also limits the age of the data that they may
-	// return.
+	// instances are asked, if it is known that the store doesn't answer.
 	fallbackAfter = 300 * time.Millisecond
 )
 
@@ -86,11 +100,11 @@
 	// unconfirmedSince is the time since which the data is unconfirmed. It is
 	// zero while the store, or an instance with recent data, confirms it.
 	unconfirmedSince time.Time
-	// peer, if set, is the instance that is followed. heardAt is when it last
-	// answered, and peerAge is how old its data was then.
-	peer    place.Instance
-	heardAt time.Time
-	peerAge time.Duration
+	// peer, if set, is the instance that is followed; otherwise it is the store.
+	// heardAt is when that last answered, and heardAge is how old the data was then.
+	peer     place.Instance
+	heardAt  time.Time
+	heardAge time.Duration
 	// backoff is the upper limit of the pause before the next call to the store,
 	// 0 while calls succeed.
 	backoff time.Duration
@@ -101,14 +115,11 @@
 	s := &f.source
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := f.now()
-	switch {
-	case !s.unconfirmedSince.IsZero():
-		return now.Sub(s.unconfirmedSince)
-	case s.peer != "":
-		return now.Sub(s.heardAt) + s.peerAge
+	if !s.unconfirmedSince.IsZero() {
+		return f.now().Sub(s.unconfirmedSince)
 	}
-	return 0
+	// A watch that waits shows nothing: the link may be cut without a reset.
+	return f.now().Sub(s.heardAt) + s.heardAge
 }
 
 // Source returns "store" if the data comes from the store, else the instance
@@ -125,6 +136,14 @@
 // storeSource is the name of the store in Source.
 const storeSource = "store"
 
+// watchesStore reports whether the data comes from the store and no call has failed
+// since.
+func (f *Feed) watchesStore() bool {
+	f.source.mu.Lock()
+	defer f.source.mu.Unlock()
+	return f.source.peer == "" && f.source.unconfirmedSince.IsZero()
+}
+
 // markConfirmed records that the data is confirmed by the store, or by the peer
 // if one is given, whose data has the given age.
 func (f *Feed) markConfirmed(peer place.Instance, age time.Duration) {
@@ -133,7 +152,7 @@
 	now := f.now()
 	since := s.unconfirmedSince
 	changed := s.peer != peer
-	s.unconfirmedSince, s.peer, s.heardAt, s.peerAge = time.Time{}, peer, now, age
+	s.unconfirmedSince, s.peer, s.heardAt, s.heardAge = time.Time{}, peer, now, age
 	if peer == "" {
 		s.backoff = 0
 	}
@@ -149,6 +168,19 @@
 	}
 }
 
+// confirmStoreData records that the data from the store was confirmed the given time
+// ago, according to another instance. It changes nothing if that is no news or if the
+// data isn't from the store.
+func (f *Feed) confirmStoreData(age time.Duration) {
+	s := &f.source
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := f.now()
+	if s.peer == "" && s.unconfirmedSince.IsZero() && age < now.Sub(s.heardAt)+s.heardAge {
+		s.heardAt, s.heardAge = now, age
+	}
+}
+
 // outageDuration returns the time since the start of an outage, 0 if there was
 // none.
 func outageDuration(since, now time.Time) time.Duration {
@@ -166,10 +198,7 @@
 	now := f.now()
 	first := s.unconfirmedSince.IsZero()
 	if first {
-		s.unconfirmedSince = now
-		if s.peer != "" {
-			s.unconfirmedSince = s.heardAt.Add(-s.peerAge)
-		}
+		s.unconfirmedSince = s.heardAt.Add(-s.heardAge)
 	}
 	s.mu.Unlock()
 	if !first {
