--- a/store/client.go
+++ b/store/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/parts"
 )
 
 // Limits of the client's requests, replies and connections.
@@ -135,15 +137,17 @@
 	if cached != nil && cached.tag != "" {
 		request.Header.Set("If-None-Match", cached.tag)
 	}
-	var fetched taggedRoster
-	header, err := c.do(request, rosterReplyBytesMax, &fetched.roster)
+	header, body, err := c.do(request, rosterReplyBytesMax)
 	if errors.Is(err, errNotModified) && cached != nil {
 		return cached.roster, nil
 	}
 	if err != nil {
 		return Roster{}, errors.Wrap(err, "read the list of instances")
 	}
-	fetched.tag = header.Get("ETag")
+	fetched := taggedRoster{tag: header.Get("ETag")}
+	if fetched.roster, err = decodeRoster(body); err != nil {
+		return Roster{}, errors.Wrap(err, "read the list of instances")
+	}
 	c.cached.Store(&fetched)
 	return fetched.roster, nil
 }
@@ -169,7 +173,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make a request")
 	}
-	_, err = c.do(request, bytesMax, reply)
+	_, err = c.doJSON(request, bytesMax, reply)
 	return err
 }
 
@@ -185,31 +189,83 @@
 	var reply struct {
 		Version uint64 `json:"version"`
 	}
-	if _, err := c.do(request, objectReplyBytesMax, &reply); err != nil {
+	if _, err := c.doJSON(request, objectReplyBytesMax, &reply); err != nil {
 		return 0, err
 	}
 	return reply.Version, nil
 }
 
-// do sends a request, decodes the reply and returns its headers.
-func (c *Client) do(request *http.Request, bytesMax int64, reply any) (http.Header, error) {
+// decodeRoster decodes the list of instances row by row. Rows that can't be decoded, or
+// whose target has an address without a valid port, are left out.
+func decodeRoster(body []byte) (Roster, error) {
+	members, err := parts.Members(body)
+	if err != nil {
+		return Roster{}, errors.Wrap(err, "decode the platform's reply")
+	}
+	var roster Roster
+	if roster.Entries, err = decodeRows(members["entries"], func(e Entry) bool { return e.Instance != "" }); err != nil {
+		return Roster{}, err
+	}
+	roster.Targets, err = decodeRows(members["targets"], func(t Target) bool { return t.Target != "" && hasValidPort(t.Address) })
+	return roster, err
+}
+
+// decodeRows decodes the rows of a list that are valid.
+func decodeRows[T any](list []byte, isValid func(T) bool) ([]T, error) {
+	if list == nil {
+		return nil, nil
+	}
+	raw, err := parts.Elements(list)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode the platform's reply")
+	}
+	rows := make([]T, 0, len(raw))
+	for _, element := range raw {
+		var row T
+		if json.Unmarshal(element, &row) == nil && isValid(row) {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func hasValidPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
+// doJSON sends a request, decodes the reply and returns its headers.
+func (c *Client) doJSON(request *http.Request, bytesMax int64, reply any) (http.Header, error) {
+	header, body, err := c.do(request, bytesMax)
+	if err != nil {
+		return nil, err
+	}
+	return header, errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
+}
+
+// do sends a request and returns the headers and the body of the reply.
+func (c *Client) do(request *http.Request, bytesMax int64) (http.Header, []byte, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, transportError(err)
+		return nil, nil, transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bytesMax))
-		return nil, err
+		return nil, nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, bytesMax+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "read the platform's reply")
+		return nil, nil, errors.Wrap(err, "read the platform's reply")
 	}
 	if int64(len(body)) > bytesMax {
-		return nil, errors.Newf("the platform's reply is longer than %d bytes", bytesMax)
+		return nil, nil, errors.Newf("the platform's reply is longer than %d bytes", bytesMax)
 	}
-	return response.Header, errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
+	return response.Header, body, nil
 }
 
 // transportError marks err with ErrUnreachable if no connection was opened, so
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -120,3 +120,33 @@
 		t.Errorf("the list was sent %d times, want 2", sent.Load())
 	}
 }
+
+// TestOddRowDamagesItselfAlone guards against a list of instances that can't be read,
+// so that nothing new is ever used, because of one odd row in it.
+func TestOddRowDamagesItselfAlone(t *testing.T) {
+	const (
+		deep   = 100_000
+		target = `{"target":"odd","service":"a/b","zone":"r/z","address":"127.0.0.1:80","state":"live"}`
+	)
+	for name, odd := range map[string]string{
+		"nothing odd":         "",
+		"deeply nested":       strings.Repeat("[", deep) + strings.Repeat("]", deep) + ",",
+		"a deep field":        strings.Replace(target, "{", `{"extra":`+strings.Repeat("[", deep)+strings.Repeat("]", deep)+",", 1) + ",",
+		"another type":        strings.Replace(target, `"odd"`, "7", 1) + ",",
+		"a number too large":  strings.Replace(target, `"odd"`, "1e999", 1) + ",",
+		"a port out of range": strings.Replace(target, ":80", ":99999", 1) + ",",
+		"no name":             strings.Replace(target, `"odd"`, `""`, 1) + ",",
+		"not JSON":            "nonsense,",
+		"null":                "null,",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `{"entries":[{"instance":"e1"}],"targets":[`+odd+strings.Replace(target, "odd", "good", 1)+`]}`)
+			})
+			roster, err := client.Roster(context.Background())
+			if err != nil || len(roster.Entries) != 1 || len(roster.Targets) != 1 || roster.Targets[0].Target != "good" {
+				t.Errorf("the list has %d entries and the targets %+v, error %v; want one of each", len(roster.Entries), roster.Targets, err)
+			}
+		})
+	}
+}
