Reuse no connection after a rejection that can't be matched to its request

Reported by other operators: an endpoint wrote an earlier refusal once more on a kept connection, and requests that it ran were said not to have run.

Here: not on the users' platform, where each attempt has an ID of its own and an answer with another one, or with none, is never taken for the request's. But on the project's own interface: a target may leave the ID out, and a caller may repeat a request with the same one. The stray rejection was then taken for the answer, "not run" was said of a request that ran, and it was sent on to a second target.

Change: after an answer that says "not run", a connection is used again only if no other request can have the same ID.

Test: TestStrayRejection, with and without the stray rejection.

--- a/sender/answer.go
+++ b/sender/answer.go
@@ -64,6 +64,9 @@
 		return answer, false, err
 	}
 	reusable = !body.endsWithConnection && !response.ConnectionClose() && reader.Buffered() == 0
+	// A target may write a refusal once more. Without an echo that is certain to differ,
+	// the next request on the connection would be taken for refused.
+	reusable = reusable && (r.isIdentified() || !refusesBeforeRun(r, answer))
 	return answer, reusable, nil
 }
 
--- a/sender/request.go
+++ b/sender/request.go
@@ -99,15 +99,21 @@
 }
 
 // WithEcho returns a copy whose answer must contain the given header with the
-// same value. Answers with another value belong to earlier requests on the
+// same value, which no other request to the target has. Answers with another value belong to earlier requests on the
 // connection and are skipped.
 func (r Request) WithEcho(header Header) Request {
 	r.echo = header
 	return r
 }
 
-// WithOptionalEcho is like WithEcho for targets that may leave out the header. An
-// answer without it counts as the answer to this request.
+// isIdentified reports whether an answer to another request can't be taken for the
+// answer to this one.
+func (r Request) isIdentified() bool { return r.echo.name != "" && !r.echoOptional }
+
+// WithOptionalEcho is like WithEcho for targets that may leave out the header, and for
+// values that another request may have too. An answer without the header counts as the
+// answer to this request. A connection isn't used again after an answer that says that
+// the request was not run.
 func (r Request) WithOptionalEcho(header Header) Request {
 	r.echo = header
 	r.echoOptional = true
