Refuse requests that a stopping entry would cut off

A request without a key whose deadline is later is now refused as not run, with the word to look up again. One with a key isn't, since its caller can ask another entry what became of it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,7 +54,9 @@
 	guard      *poison.Guard
 	view       atomic.Pointer[view]
 	leaving    atomic.Bool
-	inFlight   atomic.Int64
+	// stop holds the times of the shutdown, nil before it begins.
+	stop     atomic.Pointer[stopTimes]
+	inFlight atomic.Int64
 }
 
 // New returns an Entry without settings and without a list of instances. seeds
--- a/entry/route.go
+++ b/entry/route.go
@@ -43,6 +43,9 @@
 		if policy.NonIdempotent(r.method, r.pathWithoutQuery()) {
 			return nil, e.keyMissingError(r)
 		}
+		if err := e.refuseLate(r); err != nil {
+			return nil, err
+		}
 		return e.route(ctx, e.view.Load(), policy, r)
 	})
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -38,6 +38,8 @@
 	processes []*node.Node
 	stop      [2]context.CancelFunc
 	targets   *stub.Stub
+	// platform is the address of the platform.
+	platform string
 }
 
 func newFleet(t testing.TB) *fleet {
@@ -48,7 +50,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = platform.Close() })
-	f.targets = startTargets(t)
+	f.targets, f.platform = startTargets(t), platform.Addr()
 	roster := store.Roster{Targets: []store.Target{
 		{Target: "desk-a", Service: desk, Zone: "kigali/a", Address: f.targets.Addr("desk-a"), State: store.StateLive},
 		{Target: "ledger-b", Service: ledger, Zone: "kigali/b", Address: f.targets.Addr("ledger-b"), State: store.StateLive},
@@ -88,12 +90,18 @@
 }
 
 func write(t testing.TB, client *store.Client, service place.Service, body string) {
+	t.Helper()
+	writeVersion(t, client, service, body, 0)
+}
+
+// writeVersion writes a policy in place of the given version.
+func writeVersion(t testing.TB, client *store.Client, service place.Service, body string, replaced uint64) {
 	t.Helper()
 	value, err := config.NewEnvelope(nil, "test", "change-1", time.Now(), []byte(body)).Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Put(context.Background(), config.ServicePath(service), value, 0); err != nil {
+	if _, err := client.Put(context.Background(), config.ServicePath(service), value, replaced); err != nil {
 		t.Fatal(err)
 	}
 }
