Tell the zone at once that an instance stops

Found by following the bounds that a stop rests on: the clients' port of a stopping instance stays open until the look-up answers that name it have expired, counted from SIGTERM. But the others of its zone learned of the stop by asking, up to 0.5 s later, and named it until then. Their answers outlast the port by that time, so that clients meet a closed port.

Change: SetLeaving sends the next round of heartbeats at once, and a peer takes from a heartbeat that its sender is about to stop. The messages stay as they are; an instance of an earlier build sends and asks as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,7 @@
 	}
 	switch m := message.(type) {
 	case *wire.Heartbeat:
+		e.heartbeats.Hear(peer, m)
 		e.hearSuspects(m)
 		return e.heartbeats.Ack()
 	case *wire.Forward:
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/endivechute/endivechute/platform/fakes"
 )
 
@@ -98,3 +101,38 @@
 		})
 	}
 }
+
+// TestLookupsForgetStoppingInstance guards against look-up answers that name an instance
+// up to half a second after it began to stop, so that they outlast its port.
+func TestLookupsForgetStoppingInstance(t *testing.T) {
+	t.Parallel()
+	const limit = 200 * time.Millisecond
+	store, _ := newTestPlatform(t, 1)
+	instances := newTestFleet(t, store, "a1", "a1", "a1", "a1", "a1")
+	last := instances[len(instances)-1]
+	host, text, _ := net.SplitHostPort(last.address)
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lookUp := fakes.NodeSettings{Host: host, Port: port, Zone: "a1", Region: "a"}.LookupURL()
+	names := func(address string) bool {
+		response, err := http.Get(lookUp)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.Contains(string(body), address)
+	}
+	var stopping conc.WaitGroup
+	defer stopping.Wait()
+	for _, stopped := range instances[:len(instances)-1] {
+		eventually(t, 3*time.Second, "named", func() bool { return names(stopped.address) })
+		stopping.Go(stopped.stop)
+		eventually(t, limit, "no longer named", func() bool { return !names(stopped.address) })
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -169,6 +169,7 @@
 func (s *Server) Handle(ctx context.Context, from wire.Hello, message wire.Message) wire.Message {
 	switch m := message.(type) {
 	case *wire.Heartbeat:
+		s.heartbeats.Hear(from, m)
 		s.takeNotices(from, m)
 		ack := s.heartbeats.Ack()
 		ack.Leaving, ack.OutOfReach = !s.Ready(), s.links.LostAll()
--- a/peers/heartbeats.go
+++ b/peers/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,15 +64,20 @@
 	caller  Caller
 	now     func() time.Time
 	leaving atomic.Bool
-	peers   atomic.Pointer[[]place.Instance]
-	health  atomic.Pointer[map[place.Instance]Health]
+	// wake starts the next round of heartbeats early.
+	wake chan struct{}
+	// announced holds, by name, the incarnations of peers whose own heartbeats said that
+	// they are about to stop.
+	announced sync.Map
+	peers     atomic.Pointer[[]place.Instance]
+	health    atomic.Pointer[map[place.Instance]Health]
 	// addNotices, if set, adds to a round of heartbeats what it tells of targets.
 	addNotices func(*wire.Heartbeat)
 }
 
 // NewHeartbeats returns Heartbeats without peers.
 func NewHeartbeats(self wire.Hello, caller Caller, now func() time.Time) *Heartbeats {
-	h := &Heartbeats{self: self, caller: caller, now: now}
+	h := &Heartbeats{self: self, caller: caller, now: now, wake: make(chan struct{}, 1)}
 	h.peers.Store(&[]place.Instance{})
 	h.health.Store(&map[place.Instance]Health{})
 	return h
@@ -80,15 +86,35 @@
 // SetPeers replaces the peers that get heartbeats.
 func (h *Heartbeats) SetPeers(peers []place.Instance) { h.peers.Store(&peers) }
 
-// SetLeaving makes all further heartbeats say that this process is about to stop.
-func (h *Heartbeats) SetLeaving() { h.leaving.Store(true) }
+// SetLeaving makes all further heartbeats say that this process is about to stop, and
+// sends the next ones at once.
+func (h *Heartbeats) SetLeaving() {
+	h.leaving.Store(true)
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Hear takes what a heartbeat of a peer says about the peer itself.
+func (h *Heartbeats) Hear(from wire.Hello, heartbeat *wire.Heartbeat) {
+	if heartbeat.Leaving {
+		h.announced.Store(from.Instance, from.Incarnation)
+	}
+}
 
 // SetNotices sets the function that adds what each round of heartbeats tells of
 // targets. It must be called before Run.
 func (h *Heartbeats) SetNotices(add func(*wire.Heartbeat)) { h.addNotices = add }
 
 // Health returns the health of a peer, the zero value if it is unknown.
-func (h *Heartbeats) Health(instance place.Instance) Health { return (*h.health.Load())[instance] }
+func (h *Heartbeats) Health(instance place.Instance) Health {
+	health := (*h.health.Load())[instance]
+	if announced, found := h.announced.Load(instance); found && announced == health.incarnation {
+		health.leaving = true
+	}
+	return health
+}
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeats) Run(ctx context.Context) {
@@ -98,6 +124,7 @@
 		h.SendAll(ctx)
 		select {
 		case <-ticker.C:
+		case <-h.wake:
 		case <-ctx.Done():
 			return
 		}
