--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -109,9 +109,9 @@
 func value(t *rapid.T, depth int) any {
 	switch kind := rapid.IntRange(0, 5).Draw(t, "kind"); {
 	case kind == 0 && depth > 0:
-		list := []any{}
-		for range rapid.IntRange(0, 4).Draw(t, "elements") {
-			list = append(list, value(t, depth-1))
+		list := make([]any, rapid.IntRange(0, 4).Draw(t, "elements"))
+		for i := range list {
+			list[i] = value(t, depth-1)
 		}
 		return list
 	case kind == 1 && depth > 0:
--- a/store/client.go
+++ b/store/client.go
@@ -173,8 +173,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make a request")
 	}
-	_, err = c.doJSON(request, bytesMax, reply)
-	return err
+	return c.doJSON(request, bytesMax, reply)
 }
 
 func (c *Client) write(ctx context.Context, method, path string, value []byte, ifVersion uint64) (uint64, error) {
@@ -189,7 +188,7 @@
 	var reply struct {
 		Version uint64 `json:"version"`
 	}
-	if _, err := c.doJSON(request, objectReplyBytesMax, &reply); err != nil {
+	if err := c.doJSON(request, objectReplyBytesMax, &reply); err != nil {
 		return 0, err
 	}
 	return reply.Version, nil
@@ -238,13 +237,13 @@
 	return err == nil && number > 0
 }
 
-// doJSON sends a request, decodes the reply and returns its headers.
-func (c *Client) doJSON(request *http.Request, bytesMax int64, reply any) (http.Header, error) {
-	header, body, err := c.do(request, bytesMax)
+// doJSON sends a request and decodes the reply.
+func (c *Client) doJSON(request *http.Request, bytesMax int64, reply any) error {
+	_, body, err := c.do(request, bytesMax)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return header, errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
+	return errors.Wrap(json.Unmarshal(body, reply), "decode the platform's reply")
 }
 
 // do sends a request and returns the headers and the body of the reply.
