Answer failed requests of clients that have closed their sending side

Cause: net/http ends the context of a request at the end of the client's stream. The handler took that for a client that is gone and returned without an answer, and net/http sends 200 then.

Change: a refusal is always written. It is counted as "gone" as before, and goes nowhere if the client has left.

--- a/front/request.go
+++ b/front/request.go
@@ -100,15 +100,16 @@
 		s.finishStream(q, answer, err)
 		return
 	}
-	if q.http.Context().Err() != nil && err != nil {
-		s.recordRefusal(q, answerGone, err)
-		return
-	}
-	if err != nil {
+	switch {
+	case err == nil:
+		s.writeAnswer(w, q, answer)
+	case q.http.Context().Err() != nil:
+		// The client may only have closed its sending side. net/http sends 200 for a
+		// handler that writes nothing.
+		s.writeRefusalAs(w, q, answerGone, err)
+	default:
 		s.writeRefusal(w, q, err)
-		return
 	}
-	s.writeAnswer(w, q, answer)
 }
 
 // recoverPanic answers a request whose handler panicked. net/http would close
@@ -234,8 +235,13 @@
 // writeRefusal writes the final answer to a request that got none from a
 // target. Retry-After is set only if no target ran the request and none will.
 func (s *Server) writeRefusal(w http.ResponseWriter, q *request, err error) {
+	s.writeRefusalAs(w, q, answerRefused, err)
+}
+
+// writeRefusalAs is writeRefusal with the answer for the log and the metrics.
+func (s *Server) writeRefusalAs(w http.ResponseWriter, q *request, answer string, err error) {
 	refusal := errs.AsRefusal(err)
-	s.recordRefusal(q, answerRefused, refusal)
+	s.recordRefusal(q, answer, refusal)
 	status, retryAfter := http.StatusBadGateway, time.Duration(0)
 	switch {
 	case refusal.Verdict() == errs.VerdictNotRun:
