Read on after closing a connection until its client has closed it

Cause: the server closes a connection right after an answer with Connection: close. The bytes of the request behind are unread then, or arrive later, and the kernel answers both with a reset, which drops what the client hasn't read.

Change: a connection of a port that drains closes its sending side alone, and is read on until the client closes it, for 2 s and 4 MiB at most. A connection that the client has closed, or on which nothing was ever written, is closed as before. A drain waits for such connections, and isn't reported as overdue if only they are left.

--- a/front/leave.go
+++ b/front/leave.go
@@ -93,8 +93,9 @@
 		portIdle, drainErr := p.drain(ctx)
 		idle, err = idle && portIdle, errors.CombineErrors(err, drainErr)
 	}
-	if !idle {
-		s.log.WithField("running", s.activeRequests.Load()).Warn("Requests are still running at the end of the grace period.")
+	// Connections may also be left that clients haven't closed yet.
+	if running := s.activeRequests.Load(); !idle && running > 0 {
+		s.log.WithField("running", running).Warn("Requests are still running at the end of the grace period.")
 		s.cancelSends()
 		time.Sleep(shutdownMargin / 2)
 	}
--- a/socket/drain.go
+++ b/socket/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -27,6 +28,10 @@
 	// yet is kept open. A client sends the first one when the connection is
 	// established, a round trip later at most.
 	firstRequestTime = 500 * time.Millisecond
+	// lingerTime and lingerBytes limit how long, and for how many bytes, a connection
+	// is still read after the server has closed it.
+	lingerTime  = 2 * time.Second
+	lingerBytes = 4 << 20
 )
 
 // DrainListener is a listener that can be closed without cutting off requests.
@@ -122,12 +127,13 @@
 	l.mu.Unlock()
 	open := 0
 	for _, c := range conns {
-		if !c.isIdle(now) {
+		if c.closing.Load() || !c.isIdle(now) {
 			open++
 			continue
 		}
 		// The server notices that and closes the connection too.
 		_ = c.Close()
+		open++
 	}
 	return open
 }
@@ -151,6 +157,9 @@
 	used       atomic.Bool
 	// active is set while the server handles a request from the connection.
 	active atomic.Bool
+	// ended is set when the client has closed or reset the connection, and closing when
+	// the server has closed it.
+	ended, closing atomic.Bool
 }
 
 // TrackState tells a connection of a DrainListener its state at the server. It is
@@ -173,9 +182,15 @@
 // Read implements net.Conn.
 func (c *drainConn) Read(data []byte) (int, error) {
 	n, err := c.TCPConn.Read(data)
+	if c.closing.Load() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.unanswered.Store(true)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended.Store(true)
+	}
 	return n, err //nolint:wrapcheck // a server compares it with io.EOF
 }
 
@@ -187,8 +202,35 @@
 	return n, err //nolint:wrapcheck // a wrapper adds nothing
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It closes the sending side at once. If the client may not
+// have read everything yet, the connection is read on until the client closes it too,
+// because closing a connection with unread bytes resets it, and a reset drops what the
+// client has not read.
 func (c *drainConn) Close() error {
+	if !c.closing.CompareAndSwap(false, true) {
+		return nil
+	}
+	if c.ended.Load() || !c.used.Load() || c.CloseWrite() != nil {
+		return c.finish()
+	}
+	// This ends a Read of the server.
+	if err := c.SetReadDeadline(time.Now()); err != nil {
+		return c.finish()
+	}
+	go c.linger()
+	return nil
+}
+
+// linger reads the connection until the client closes it, and closes it then.
+func (c *drainConn) linger() {
+	defer func() { _ = c.finish() }()
+	if err := c.SetReadDeadline(time.Now().Add(lingerTime)); err == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, lingerBytes))
+	}
+}
+
+// finish closes the connection.
+func (c *drainConn) finish() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
