--- a/feed/cut_test.go
+++ b/feed/cut_test.go
@@ -217,3 +217,38 @@
 		}
 	}
 }
+
+// slowPeers delays the first answer of another instance.
+type slowPeers struct {
+	fakePeers
+	delay  time.Duration
+	called atomic.Bool
+}
+
+// Call implements feed.Peers.
+func (p *slowPeers) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	if p.called.CompareAndSwap(false, true) {
+		select {
+		case <-time.After(p.delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return p.fakePeers.Call(ctx, instance, message)
+}
+
+// TestSlowFirstAnswerIsAwaited guards against an instance that turns to the store because
+// the first answer of the one that it follows takes longer than later ones.
+func TestSlowFirstAnswerIsAwaited(t *testing.T) {
+	t.Parallel()
+	store, feeds := newStore(t), &feedSet{}
+	watcher := start(t, store, "i1", &fakePeers{live: []place.Instance{"i1"}, feeds: feeds})
+	eventually(t, 3*time.Second, "ready", watcher.Ready)
+	feeds.set("i1", watcher)
+	peers := &slowPeers{fakePeers: fakePeers{live: []place.Instance{"i1"}, feeds: feeds}, delay: 600 * time.Millisecond}
+	f := startWithPeers(t, store, "i2", peers)
+	eventually(t, 3*time.Second, "data", f.Ready)
+	if source := f.Source(); source != "i1" {
+		t.Errorf("the data comes from %q, want i1", source)
+	}
+}
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -80,8 +80,8 @@
 // before it answers.
 func (f *Feed) nextFollowWait(peer place.Instance) time.Duration {
 	if f.Source() != string(peer) {
-		// The first answer brings what happened meanwhile.
-		return followWaitMin
+		// How old its data is, is not known yet.
+		return followWait
 	}
 	return min(max(peerAgeMax-followMargin-f.Age(), followWaitMin), followWait)
 }
