Refuse for the stop only what the stop leaves no time for

A stopping instance told every client that no target could take to come back at once, also where it would be refused elsewhere too: because all targets ask for a pause, name a limit, or are gone. It now says so only if a target would be free later than the process ends, and the client's deadline is later still; the other refusals keep their reason and their Retry-After. While a service is full and deadlines are long, the two can't be told apart.

The tests take the platform's header and setting from package fakes.

--- a/front/head_test.go
+++ b/front/head_test.go
@@ -46,7 +46,7 @@
 func TestStrayRejectionIsNoRefusal(t *testing.T) {
 	t.Parallel()
 	rejection := func(id string) string {
-		return "HTTP/1.1 503 Service Unavailable\r\n" + fakes.RequestIDHeader + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + fakes.RequestIDHeader + id + "\r\n" + fakes.NotRunHeader + "Content-Length: 0\r\n\r\n"
 	}
 	for name, answers := range map[string]bool{"answered then": true, "closed then": false} {
 		t.Run(name, func(t *testing.T) {
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			config := strings.ReplaceAll(fakes.Config(1, lateWait), `"target_latency_ms":200`, fmt.Sprintf(`"target_latency_ms":%d`, c.aim.Milliseconds()))
-			w := newTestEnvWith(t, "contract_params.grace_period_s="+strconv.Itoa(grace)+"\n", config)
+			w := newTestEnvWith(t, fakes.GraceLine(grace), config)
 			var lateRuns atomic.Int64
 			w.handleAll(func(_ *fakes.Target, _ http.ResponseWriter, r *http.Request) bool {
 				if fakes.RequestID(r.Header) == "late" {
--- a/front/send.go
+++ b/front/send.go
@@ -102,11 +102,13 @@
 	if !q.route.Affinity() {
 		object = ""
 	}
+	timeLeft := s.timeLeft(q.deadline, now)
 	attempt, err := s.chooser.Choose(s.feed.View().Members(service), pick.Query{
-		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: s.timeLeft(q.deadline, now),
+		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: timeLeft,
 		Allowed: q.route.AllowedIn, Tried: t.tried, ColdShare: s.coldShare,
 	}, now)
-	if err != nil && s.shuttingDown() {
+	if err != nil && timeLeft < q.deadline.Sub(now) && errs.AsRefusal(err).Reason() == errs.ReasonTargetBusy {
+		// Another instance may have the time that this one lacks.
 		return nil, errStopping(errs.AsRefusal(err).Message())
 	}
 	return attempt, err //nolint:wrapcheck // a refusal needs no more context
--- a/sender/refusal_test.go
+++ b/sender/refusal_test.go
@@ -44,7 +44,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := s.writeID(r.Header.Get(sender.HeaderRequestID))
 		if s.rejected.CompareAndSwap(false, true) {
-			rejection = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+			rejection = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", id)
 			_, _ = io.WriteString(conn, rejection)
 			continue
 		}
@@ -59,7 +59,7 @@
 // TestStrayRejection guards against a rejection that a target writes once more and that
 // is taken for the answer to a request which the target runs.
 func TestStrayRejection(t *testing.T) {
-	rules := []config.RefusedResponse{config.NewRefusedResponse(http.StatusServiceUnavailable, "X-Not-Executed")}
+	rules := []config.RefusedResponse{config.NewRefusedResponse(http.StatusServiceUnavailable, "X-Rejected")}
 	echoes := func(id string) string { return sender.HeaderRequestID + ": " + id + "\r\n" }
 	silent := func(string) string { return "" }
 	answer := func(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
