--- a/front/half_test.go
+++ b/front/half_test.go
@@ -15,6 +15,7 @@
 // TestHalfClosedClientIsAnswered guards against an empty 200 for a request that failed,
 // of a client that has closed its sending side and waits for the answer.
 func TestHalfClosedClientIsAnswered(t *testing.T) {
+	t.Parallel()
 	const delay = 100 * time.Millisecond
 	for name, c := range map[string]struct {
 		respond func(*fakes.Target, http.ResponseWriter, *http.Request) bool
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -50,6 +50,7 @@
 // takes although they outlast it, and answers with 502 while a target is at work on
 // them.
 func TestStopRefusesWhatItWouldCutOff(t *testing.T) {
+	t.Parallel()
 	// The clients' port closes 3 s after the stop began, and what is still running is
 	// canceled after 7.7 s.
 	const grace = 8
