--- a/front/leave.go
+++ b/front/leave.go
@@ -19,9 +19,10 @@
 	// shutdownMarginFraction limits that to a part of the grace period. The platform
 	// blames the process for what it cancels before the last sixth.
 	shutdownMarginFraction = 6
-	// lateAfter is how long after SIGTERM a request may be sent for the platform to
-	// excuse the process for canceling it.
-	lateAfter = 3 * time.Second
+	// lateAfter is how long after SIGTERM a request may arrive that could outlast the
+	// process. The platform excuses the process for canceling what was sent within 3 s;
+	// the rest is for a signal that is noticed late.
+	lateAfter = 2500 * time.Millisecond
 )
 
 // shutdownTimes are the times of a graceful shutdown.
--- a/front/lookup.go
+++ b/front/lookup.go
@@ -13,7 +13,8 @@
 	addressesMax = 64
 	// lookupTTLMax limits the TTL of a look-up answer. Some clients use an
 	// answer for three times its TTL, and a process that is about to stop must
-	// keep its port open for that time, which should be over by lateAfter.
+	// keep its port open for that time. The platform excuses it for canceling what was
+	// sent within 3 s of SIGTERM.
 	lookupTTLMax = time.Second
 	// ttlOverrunFactor is how many times the TTL some clients use an answer.
 	ttlOverrunFactor = 3
