--- a/feed/source.go
+++ b/feed/source.go
@@ -28,11 +28,8 @@
 	// data while the store answers. They have to stay well below peerAgeMax.
 	targetWatchWait = 500 * time.Millisecond
 	// checkWatchWait is how long a watch waits that checks whether the store
-	// answers.
+	// answers again.
 	checkWatchWait = 50 * time.Millisecond
-	// checkAge is the age of the data from which the instance that watches the store
-	// checks whether it answers, although a watch is waiting.
-	checkAge = 800 * time.Millisecond
 	// watchPause is the time between two watches. Changes that arrive within it
 	// are applied together. It is short compared to the time within which a
 	// leaving target must get no more requests, which is the shortest time
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -43,7 +43,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var tasks conc.WaitGroup
-	tasks.Go(func() { f.runChecks(ctx, pending) })
 	for _, kind := range kinds {
 		maxWait := f.watchWait
 		if kind == platform.KindTargets {
@@ -61,28 +60,6 @@
 	return errors.WithStack(context.Cause(ctx))
 }
 
-// runChecks asks the store for changes of the targets whenever the data gets old, until
-// ctx ends. The store answers at once then, while a watch that it no longer serves shows
-// that only by its time-out.
-func (f *Feed) runChecks(ctx context.Context, pending *pendingWatches) {
-	m := f.mirrors[platform.KindTargets]
-	for wait.Sleep(ctx, ageCheckInterval) {
-		if !f.watchesStore() || f.Age() < checkAge {
-			continue
-		}
-		after := m.position()
-		objects, position, err := f.store.Watch(ctx, platform.KindTargets, after, checkWatchWait)
-		switch {
-		case err == nil:
-			f.markConfirmed("", 0)
-			f.applyChanges(platform.KindTargets, objects, after, position)
-		case errors.Is(err, platform.ErrHistoryGone):
-			f.hearStore()
-			pending.restartOthers("")
-		}
-	}
-}
-
 // pendingWatches holds the watches of a session that wait for a change.
 type pendingWatches struct {
 	mu      sync.Mutex
@@ -103,8 +80,8 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// restartOthers cancels the watches of all other kinds, or of all if the kind is "", so
-// that they are restarted.
+// restartOthers cancels the watches of all other kinds, so that they are
+// restarted.
 func (w *pendingWatches) restartOthers(kind string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
