Let instances that nobody follows watch the targets for longer

Cause: when the store is silent to all for a second, as while it discards its history there, all followers turn to it for 5 s. Each of the 143 then made two calls a second, since the watches of the targets had become as short for these as for the one that the zone follows.

Nobody takes the age of their data for a bound of its own.

The tests of package feed pass.

--- a/feed/source.go
+++ b/feed/source.go
@@ -27,6 +27,10 @@
 	// the data is current, so this and the pause between watches limit the age of the
 	// data while the store answers. They have to stay well below peerAgeMax.
 	targetWatchWait = 500 * time.Millisecond
+	// directWatchWait is that time for an instance that nobody follows, which needn't
+	// know as soon that the store is silent. There may be many of these, and each watch
+	// costs the store a call.
+	directWatchWait = 1500 * time.Millisecond
 	// checkWatchWait is how long a watch waits that checks whether the store
 	// answers again.
 	checkWatchWait = 50 * time.Millisecond
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -44,12 +44,9 @@
 	defer cancel(nil)
 	var tasks conc.WaitGroup
 	for _, kind := range kinds {
-		maxWait := f.watchWait
-		if kind == platform.KindTargets {
-			maxWait = targetWatchWait
-		}
 		tasks.Go(func() {
 			for ctx.Err() == nil {
+				maxWait := f.maxWatchWait(kind)
 				if err := f.watchOnce(ctx, kind, maxWait, pending); err != nil {
 					cancel(err)
 				}
@@ -60,6 +57,17 @@
 	return errors.WithStack(context.Cause(ctx))
 }
 
+// maxWatchWait returns how long a watch of a kind may wait for a change.
+func (f *Feed) maxWatchWait(kind string) time.Duration {
+	switch {
+	case kind != platform.KindTargets:
+		return f.watchWait
+	case f.watcher() != f.self:
+		return directWatchWait
+	}
+	return targetWatchWait
+}
+
 // pendingWatches holds the watches of a session that wait for a change.
 type pendingWatches struct {
 	mu      sync.Mutex
