Let followers ask other zones before they turn to the store

Change: a follower whose watcher's data is old asks instances of other zones. It stays with these while they have recent data, until the watcher has. If theirs is old too, it waits until its own is 1.7 s old, since the store may be silent to all. If none answers, it turns to the store at once, as before.

The tests of the package pass; none is new.

--- a/feed/follow.go
+++ b/feed/follow.go
@@ -101,13 +101,38 @@
 	}
 	if age > ageMax {
 		f.applyStale(request, response, age)
-		return errors.Newf("the data of instance %s is %v old", peer, age)
+		return errors.Wrapf(errStale, "the data of instance %s is %v old", peer, age)
 	}
 	f.markConfirmed(peer, age)
 	f.applyFollowed(request, response)
 	return nil
 }
 
+// errStale marks the error of an instance whose data is too old.
+var errStale = errors.New("too old to be followed")
+
+// followOthers requests changes from instances of other zones, while the data of the one
+// that this zone follows is old, for directWatchTime at most. It reports whether that one
+// may be followed again; otherwise the store has to be asked, because no other zone
+// answers or because the data of all is old.
+func (f *Feed) followOthers(ctx context.Context, watcher place.Instance) bool {
+	for end := f.now().Add(directWatchTime); f.now().Before(end) && f.watcher() == watcher && ctx.Err() == nil; {
+		others := f.peers.OtherZones()
+		if len(others) == 0 {
+			return false
+		}
+		err := f.pullChanges(ctx, others[rand.IntN(len(others))], 0, min(f.Age(), peerAgeMax))
+		if err != nil && (!errors.Is(err, errStale) || f.Age() > storeSilentAge) {
+			return false
+		}
+		if f.pullChanges(ctx, watcher, 0, peerAgeMax) == nil {
+			return true
+		}
+		wait.Sleep(ctx, fallbackPause)
+	}
+	return true
+}
+
 // callFollow sends an instance a request for changes and returns its response
 // and the request.
 func (f *Feed) callFollow(ctx context.Context, peer place.Instance, maxWait time.Duration, only ...string) (*wire.Followed, *wire.Follow, error) {
--- a/feed/source.go
+++ b/feed/source.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/dgryski/go-rendezvous"
 	"github.com/sirupsen/logrus"
 
@@ -60,6 +61,10 @@
 	// followMargin later. Both fit into the shortest time limit in the platform's
 	// contracts, 2 s.
 	peerAgeMax = 1200 * time.Millisecond
+	// storeSilentAge is the age of the data from which a follower turns to the store
+	// although other zones have no more recent data either: the store may only be silent
+	// for a moment, and if all followers turned to it, each of them would list everything.
+	storeSilentAge = 1700 * time.Millisecond
 	// watcherAgeMax is the age of its data from which the instance that watches the
 	// store asks others. It is below peerAgeMax, so that its followers stay if one of
 	// the others has recent data.
@@ -93,6 +98,8 @@
 	// checks whether it does.
 	fallbackInterval = 250 * time.Millisecond
 	ageCheckInterval = 100 * time.Millisecond
+	// fallbackPause is the time between two requests to other zones by a follower.
+	fallbackPause = 150 * time.Millisecond
 	// fallbackAfter is how long the data may be unconfirmed before other
 	// instances are asked, if it is known that the store doesn't answer.
 	fallbackAfter = 300 * time.Millisecond
@@ -247,6 +254,9 @@
 		}
 		// Without an error, another instance is the watcher now and is followed next.
 		if err := f.followPeer(ctx, watcher); err != nil && ctx.Err() == nil {
+			if errors.Is(err, errStale) && f.followOthers(ctx, watcher) {
+				continue
+			}
 			f.log.WithError(err).WithField("peer", watcher).Warn("An instance can't be followed; the store is watched instead.")
 			directUntil = f.now().Add(directWatchTime)
 		}
