Show that followers ask other zones before the store

TestFollowersAskOtherZonesFirst: the watcher loses the store and the other zones; its followers have a change within 2 s and make no call to the store.

The comment of peerAgeMax said what followers did before that change, and a field of TestStrayRejection had a name that said nothing. No program code changes.

--- a/feed/cut_test.go
+++ b/feed/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -73,11 +74,18 @@
 // paused.
 type pausablePeers struct {
 	fakePeers
+	self   place.Instance
 	paused *atomic.Pointer[place.Instance]
+	// isolated is an instance that doesn't reach other zones.
+	isolated *atomic.Pointer[place.Instance]
 }
 
 // Call implements feed.Peers.
 func (p *pausablePeers) Call(ctx context.Context, instance place.Instance, message wire.Message) (wire.Message, error) {
+	if isolated := p.isolated.Load(); isolated != nil && *isolated == p.self && slices.Contains(p.others, instance) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	answer, err := p.fakePeers.Call(ctx, instance, message)
 	if paused := p.paused.Load(); paused != nil && *paused == instance {
 		<-ctx.Done()
@@ -89,24 +97,29 @@
 // cutZone is a zone of instances, one of which watches the store and the others
 // follow it.
 type cutZone struct {
-	store   *fakes.Store
-	links   map[place.Instance]*link
-	feeds   *feedSet
-	paused  atomic.Pointer[place.Instance]
-	watcher place.Instance
+	store *fakes.Store
+	links map[place.Instance]*link
+	feeds *feedSet
+	// paused doesn't answer, and isolated doesn't reach other zones.
+	paused, isolated atomic.Pointer[place.Instance]
+	watcher          place.Instance
 }
 
-func newCutZone(t *testing.T) *cutZone {
+// newCutZone starts a zone beside the given instances of other zones.
+func newCutZone(t *testing.T, others ...place.Instance) *cutZone {
 	t.Helper()
 	z := &cutZone{store: newStore(t), links: map[place.Instance]*link{}, feeds: &feedSet{}}
 	z.store.Put("servers", "t1", targetSpec)
 	live := []place.Instance{"i1", "i2", "i3", "i4"}
+	for _, name := range others {
+		z.feeds.set(name, start(t, z.store, string(name), &fakePeers{live: []place.Instance{name}, feeds: z.feeds}))
+	}
 	for _, name := range live {
 		l := newLink(t, z.store)
 		z.links[name] = l
 		address := l.server.Listener.Addr().String()
 		client := platform.NewStore(address, func(string, time.Duration) {})
-		f := feed.New(settings(t, string(name), address), client, &pausablePeers{fakePeers{live: live, feeds: z.feeds}, &z.paused}, time.Now, logs.Discard())
+		f := feed.New(settings(t, string(name), address), client, &pausablePeers{fakePeers: fakePeers{live: live, others: others, feeds: z.feeds}, self: name, paused: &z.paused, isolated: &z.isolated}, time.Now, logs.Discard())
 		z.feeds.set(name, f)
 		ctx, cancel := context.WithCancel(context.Background())
 		var running conc.WaitGroup
@@ -162,6 +175,33 @@
 	}
 }
 
+// TestFollowersAskOtherZonesFirst guards against followers that all turn to the store
+// when the instance that they follow has lost it, although another zone has recent data.
+func TestFollowersAskOtherZonesFirst(t *testing.T) {
+	t.Parallel()
+	const apply = 2 * time.Second
+	z := newCutZone(t, "i9")
+	before := map[place.Instance]int64{}
+	for instance, l := range z.links {
+		before[instance] = l.calls.Load()
+	}
+	z.isolated.Store(&z.watcher)
+	watched := z.links[z.watcher]
+	watched.armed.Store(true)
+	<-watched.cutting
+	z.store.Put("config", "main", fakes.Config(2, 1000))
+	acknowledged := time.Now()
+	for instance, l := range z.links {
+		if instance == z.watcher {
+			continue
+		}
+		eventually(t, time.Until(acknowledged.Add(apply)), fmt.Sprintf("the configuration at %s", instance), func() bool { return configVersion(z.feeds.get(instance)) == 2 })
+		if calls := l.calls.Load() - before[instance]; calls > 0 {
+			t.Errorf("%s made %d calls to the store", instance, calls)
+		}
+	}
+}
+
 // TestFollowersOfSoundWatcherStay checks that followers leave the store alone while the
 // instance that they follow has it, and that no instance's data seems old then.
 func TestFollowersOfSoundWatcherStay(t *testing.T) {
--- a/feed/source.go
+++ b/feed/source.go
@@ -55,10 +55,10 @@
 	// but not sooner than after followWaitMin.
 	followWaitMin = 50 * time.Millisecond
 	followMargin  = 200 * time.Millisecond
-	// peerAgeMax limits the age of the data of an instance that is followed. The
-	// followers of an instance that has lost the store, and can't know it yet, read the
-	// store themselves after that time. Those of one that hangs do so followGrace less
-	// followMargin later. Both fit into the shortest time limit in the platform's
+	// peerAgeMax limits the age of the data of an instance that is followed. When an
+	// instance has lost the store and can't know it yet, its followers turn to other zones
+	// at that age, or to the store if none answers. When it hangs, they do so followGrace
+	// less followMargin later. Both fit into the shortest time limit in the platform's
 	// contracts, 2 s.
 	peerAgeMax = 1200 * time.Millisecond
 	// storeSilentAge is the age of the data from which a follower turns to the store
--- a/sender/refusal_test.go
+++ b/sender/refusal_test.go
@@ -76,9 +76,8 @@
 		// sameID sends the second request with the ID of the first one, as a caller does
 		// that repeats it.
 		sameID bool
-		// want is the answer that a sound target's caller gets, and dirty the one of a
-		// target with a stray rejection; "" stands for an error.
-		dirty string
+		// want is the body of the answer to the second request, "" for an error.
+		want string
 	}{
 		"echo, answered":                         {strict, echoes, answer, false, "ran"},
 		"echo, answered late":                    {strict, echoes, late, false, "ran"},
@@ -133,8 +132,8 @@
 				if err != nil && errs.VerdictOf(err) == errs.VerdictNotRun {
 					t.Errorf("a request that ran is said not to have run: %v", err)
 				}
-				if (err == nil) != (c.dirty != "") || string(got.Body()) != c.dirty {
-					t.Errorf("the answer is %q, error %v; want %q", got.Body(), err, c.dirty)
+				if (err == nil) != (c.want != "") || string(got.Body()) != c.want {
+					t.Errorf("the answer is %q, error %v; want %q", got.Body(), err, c.want)
 				}
 			})
 		}
