--- a/front/request.go
+++ b/front/request.go
@@ -18,6 +18,7 @@
 	"github.com/endivechute/endivechute/reach"
 	"github.com/endivechute/endivechute/route"
 	"github.com/endivechute/endivechute/sender"
+	"github.com/endivechute/endivechute/tenant"
 )
 
 const (
@@ -40,9 +41,11 @@
 
 // request is a client's request while it is being served.
 type request struct {
-	http    *http.Request
-	head    platform.RequestHead
-	route   *route.Route
+	http  *http.Request
+	head  platform.RequestHead
+	route *route.Route
+	// tenant is the tenant whose key the request has, nil if it needs none.
+	tenant  *tenant.Tenant
 	body    []byte
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the end of the
--- a/front/send.go
+++ b/front/send.go
@@ -234,7 +234,7 @@
 	if !known {
 		return nil
 	}
-	return &pick.Report{Running: load.Running(), Waiting: load.Waiting()}
+	return &pick.Report{Running: load.Running(), Waiting: load.Waiting(), WorkFactor: load.WorkFactor()}
 }
 
 // outcomeOf returns the outcome that the chooser learns from an attempt's
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -70,7 +70,10 @@
 // requests are running and waiting there.
 type Report struct {
 	Running, Waiting int
-	At               time.Time
+	// WorkFactor is how many times as long as usual work takes at the target's
+	// machine, 0 if the target doesn't report that.
+	WorkFactor float64
+	At         time.Time
 }
 
 // targetStats holds this entry's statistics of one process of a target.
--- a/place/place.go
+++ b/place/place.go
@@ -33,6 +33,9 @@
 // "library/search-desk".
 type Service string
 
+// Tenant is the name of a tenant, a customer of the operators' customers.
+type Tenant string
+
 // NewZone returns the availability zone with the given region and name. The error
 // names the part that is invalid.
 func NewZone(region, zone string) (Zone, error) {
--- a/route/table.go
+++ b/route/table.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/endivechute/endivechute/place"
+	"github.com/endivechute/endivechute/tenant"
 )
 
 // WeightedService is one part of a route's traffic split: a service and its
@@ -50,6 +51,10 @@
 	// all may.
 	AllowedRegions []place.Region
 	Services       []WeightedService
+	// Public is true if requests need no key of a tenant.
+	Public bool
+	// Download is true if the answers are large.
+	Download bool
 	// Unusable is true if the configuration of the route is invalid, so that its
 	// requests can't be served.
 	Unusable bool
@@ -102,6 +107,12 @@
 // its requests can't be served.
 func (r *Route) Unusable() bool { return r.spec.Unusable }
 
+// Public reports whether requests need no key of a tenant.
+func (r *Route) Public() bool { return r.spec.Public }
+
+// Download reports whether the answers are large.
+func (r *Route) Download() bool { return r.spec.Download }
+
 // AllowedIn reports whether targets of the region may serve the route.
 func (r *Route) AllowedIn(region place.Region) bool {
 	return len(r.spec.AllowedRegions) == 0 || slices.Contains(r.spec.AllowedRegions, region)
@@ -178,6 +189,7 @@
 	hosts    map[string]map[string]*Route
 	services map[place.Service]Service
 	limits   Limits
+	tenants  *tenant.Table
 	// incomplete is true if the configuration has routes that are not in the
 	// table.
 	incomplete bool
@@ -215,6 +227,15 @@
 // table. A request without a route may then be meant for one of them.
 func (t *Table) Incomplete() bool { return t.incomplete }
 
+// WithTenants adds the tenants of the configuration.
+func (t *Table) WithTenants(tenants *tenant.Table) *Table {
+	t.tenants = tenants
+	return t
+}
+
+// Tenants returns the tenants of the configuration, nil if it has none.
+func (t *Table) Tenants() *tenant.Table { return t.tenants }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
