Decode the tenants of a configuration and keep digests of their keys

Cause: configurations of new customers have tenants with API keys. The keys would have been kept in plain text and sent to the instances that follow.

Change: package platform replaces the member tenants by a sealed form with digests as it reads an object of kind config, and feed does so with what an instance of the previous release sends. The decoder takes both forms. Invalid entries are reported one by one; their keys, shared keys and an unreadable list can't be used, and with keys that can't be read the table is incomplete.

--- a/feed/exchange.go
+++ b/feed/exchange.go
@@ -136,7 +136,8 @@
 		}
 		objects := make([]platform.Object, 0, len(received))
 		for _, o := range received {
-			objects = append(objects, platform.NewObject(o.Name, o.Revision, o.Spec, o.Deleted))
+			// An instance of the previous release sends configurations with keys.
+			objects = append(objects, platform.Sealed(k.Kind, platform.NewObject(o.Name, o.Revision, o.Spec, o.Deleted)))
 		}
 		position := platform.NewPosition(k.Era, k.Revision)
 		if k.Whole {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -320,7 +320,7 @@
 		f.log.WithError(problem).WithField(fieldRevision, o.Revision()).Warn("A part of a configuration is invalid; the other parts are in force.")
 	}
 	f.table.Store(table)
-	f.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Routes(), fieldRevision: o.Revision()}).Info("A configuration is in force.")
+	f.log.WithFields(logrus.Fields{"version": table.Version(), "routes": table.Routes(), "tenants": len(table.Tenants().Tenants()), fieldRevision: o.Revision()}).Info("A configuration is in force.")
 	for _, listener := range f.tableListeners {
 		listener(table)
 	}
--- a/sender/request.go
+++ b/sender/request.go
@@ -148,6 +148,10 @@
 // Method returns the HTTP method.
 func (r Request) Method() string { return r.method }
 
+// Headers returns the headers without those that each hop sets. The caller must not
+// change the slice.
+func (r Request) Headers() []Header { return r.headers }
+
 // Path returns the path and query string that the target receives.
 func (r Request) Path() string { return r.path }
 
--- a/tenant/table.go
+++ b/tenant/table.go
@@ -8,6 +8,8 @@
 	tenants []*Tenant
 	// invalid is true if the configuration has tenants but they can't be read.
 	invalid bool
+	// incomplete is true if tenants have keys that can't be read.
+	incomplete bool
 }
 
 // NewTable returns a Table of the tenants. A key that several of them have finds a
@@ -19,7 +21,7 @@
 		added := New(spec)
 		t.tenants = append(t.tenants, added)
 		for _, key := range spec.Keys {
-			if other, found := t.byKey[key]; found && other != added {
+			if other, found := t.byKey[key]; found && other != added && !slices.Contains(shared, key) {
 				shared = append(shared, key)
 			}
 			t.byKey[key] = added
@@ -28,7 +30,7 @@
 	for _, key := range shared {
 		t.byKey[key] = New(Spec{Unusable: true})
 	}
-	return t, slices.Compact(shared)
+	return t, shared
 }
 
 // NewInvalidTable returns the Table of a configuration whose tenants can't be read.
@@ -37,6 +39,16 @@
 // Invalid reports whether the configuration has tenants but they can't be read.
 func (t *Table) Invalid() bool { return t != nil && t.invalid }
 
+// WithoutSomeKeys marks the table as incomplete: tenants have keys that can't be read.
+func (t *Table) WithoutSomeKeys() *Table {
+	t.incomplete = true
+	return t
+}
+
+// Incomplete reports whether tenants have keys that can't be read. A key that isn't
+// found may then be one of them.
+func (t *Table) Incomplete() bool { return t != nil && t.incomplete }
+
 // InForce reports whether requests need a key.
 func (t *Table) InForce() bool { return t != nil && (t.invalid || len(t.tenants) > 0) }
 
