Check the keys of tenants and name the tenant to targets

Cause: requests of tenants have to be told apart by their keys, and targets must get the tenant's name and never the key.

Change: after the route is found, a request on a route that isn't public needs the key of a tenant. Without one it gets 401, or 503 if the configuration is outdated, invalid or incomplete. The key header is replaced by the tenant's name, also on detours, whose sender passes on the regions that route and tenant have in common. An instance checks the key of a detour whose sender hasn't. The fingerprint of the poison guard has the key's digest, logs name the tenant, metrics count by tenant for up to 1,000 of them, the dump has their number.

--- a/front/detour.go
+++ b/front/detour.go
@@ -81,7 +81,7 @@
 			lastErr = errs.NotRun(errs.ReasonDeadline, q.route.Aim(), "the deadline of the request has passed")
 			break
 		}
-		peer, found := s.detours.Choose(s.instances.Detours(), service, q.route.AllowedIn, asked, now)
+		peer, found := s.detours.Choose(s.instances.Detours(), service, q.allowedIn, asked, now)
 		if !found {
 			break
 		}
@@ -135,6 +135,7 @@
 	defer context.AfterFunc(s.sendContext, cancel)()
 	began := s.now()
 	description := platform.Detour{Service: service, Route: q.route.Spec(), Left: s.timeLeft(q.deadline, began), Tried: t.tried}
+	q.setDetour(&description)
 	request, err := platform.NewDetourRequest(q.http, q.body, q.head.ID(), description, q.answerDeadline, answerBytesMax)
 	if err != nil {
 		return platform.DetourAnswer{}, errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
@@ -257,7 +258,10 @@
 	q.route = route.NewRoute(detour.Route)
 	q.deadline = q.arrived.Add(detour.Left)
 	q.answerDeadline = q.arrived.Add(max(q.head.Deadline(), detour.Left))
-	q.scope = reach.NewScope(detour.Service, detour.Route.AllowedRegions)
+	if err := s.admitDetourTenant(q, detour); err != nil {
+		return detour, err
+	}
+	q.scope = reach.NewScope(detour.Service, q.regions)
 	if s.links.Lost(q.scope) {
 		return detour, errs.NotRun(errs.ReasonTargetFailed, outOfReachRetryAfter, "service %s: its targets are out of reach of this instance too", detour.Service)
 	}
--- a/front/dump.go
+++ b/front/dump.go
@@ -24,6 +24,7 @@
 	LimitedTargets int              `json:"limited_targets"`
 	Version        uint64           `json:"version"`
 	Routes         int              `json:"routes"`
+	Tenants        int              `json:"tenants"`
 	EvacuatedZones []place.Zone     `json:"evacuated_zones"`
 	LiveInstances  []place.Instance `json:"live_instances"`
 	Registered     int              `json:"registered_instances"`
@@ -46,7 +47,7 @@
 		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now),
 	}
 	if table := s.feed.Table(); table != nil {
-		d.Version, d.Routes = table.Version(), table.Routes()
+		d.Version, d.Routes, d.Tenants = table.Version(), table.Routes(), len(table.Tenants().Tenants())
 	}
 	return d
 }
--- a/front/limit_test.go
+++ b/front/limit_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/endivechute/endivechute/front"
@@ -42,6 +43,12 @@
 // startInstanceWith starts an instance that opens its connections to targets with
 // dial.
 func startInstanceWith(t *testing.T, store *fakes.Store, name, zone string, dial sender.DialFunc) testInstance {
+	t.Helper()
+	return startInstanceLogging(t, store, name, zone, dial, logs.Discard())
+}
+
+// startInstanceLogging is startInstanceWith for an instance that writes a log.
+func startInstanceLogging(t *testing.T, store *fakes.Store, name, zone string, dial sender.DialFunc, log *logrus.Logger) testInstance {
 	t.Helper()
 	port := freePorts(t)
 	settings, err := platform.ReadSettings(strings.NewReader(fakes.Settings(name, zone, zone[:1], store.Address(), port)))
@@ -50,7 +57,7 @@
 	}
 	operators := port + portsEach - 1
 	i := testInstance{
-		server:  front.New(settings, strconv.Itoa(operators), dial, time.Now, logs.Discard()),
+		server:  front.New(settings, strconv.Itoa(operators), dial, time.Now, log),
 		address: fmt.Sprintf("127.0.0.1:%d", port), operators: fmt.Sprintf("127.0.0.1:%d", operators),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/front/note.go
+++ b/front/note.go
@@ -72,10 +72,13 @@
 		return
 	}
 	s.stats.requests.WithLabelValues(answer, reason).Inc()
+	if q.tenant != nil {
+		s.stats.tenantRequests.WithLabelValues(s.tenantLabels.label(q.tenant.Name()), answer).Inc()
+	}
 	s.stats.latency.WithLabelValues(latencyLabel).Observe(now.Sub(q.arrived).Seconds())
 }
 
-// logFields returns the fields of every log line about a request: its id and
+// logFields returns the fields of every log line about a request: its id, tenant and
 // route, the version of the configuration, and the age of the data that the
 // routing used.
 func (s *Server) logFields(q *request, now time.Time) logrus.Fields {
@@ -85,6 +88,9 @@
 	if q.table != nil {
 		fields["version"] = q.table.Version()
 	}
+	if q.tenant != nil {
+		fields[fieldTenant] = q.tenant.Name()
+	}
 	if q.route != nil {
 		fields["route"] = q.route.Name()
 		fields["left_ms"] = milliseconds(q.deadline.Sub(now))
--- a/front/request.go
+++ b/front/request.go
@@ -45,7 +45,9 @@
 	head  platform.RequestHead
 	route *route.Route
 	// tenant is the tenant whose key the request has, nil if it needs none.
-	tenant  *tenant.Tenant
+	tenant *tenant.Tenant
+	// regions are the only regions that may serve the request. If empty, all may.
+	regions []place.Region
 	body    []byte
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the end of the
@@ -80,6 +82,12 @@
 	return q.fingerprintValue
 }
 
+// path returns the path of the request as the client sent it.
+func (q *request) path() string {
+	path, _, _ := strings.Cut(q.http.URL.RequestURI(), "?")
+	return path
+}
+
 // ServeHTTP serves one request of a client.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
@@ -129,7 +137,7 @@
 	s.writeRefusal(w, q, errs.MayHaveRun(errs.ReasonPeerFailed, "handling the request panicked: %v", recovered))
 }
 
-// admit finds the route of a request and reads its body. It reports whether
+// admit finds the route and the tenant of a request and reads its body. It reports whether
 // that succeeded; if not, it has answered the request.
 func (s *Server) admit(w http.ResponseWriter, q *request) bool {
 	q.table = s.feed.Table()
@@ -137,7 +145,7 @@
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNotReady, notReadyRetryAfter, "the configuration, targets or instances are not loaded yet"))
 		return false
 	}
-	path, _, _ := strings.Cut(q.http.URL.RequestURI(), "?")
+	path := q.path()
 	found := false
 	if q.route, found = q.table.Find(q.http.Host, path); !found {
 		s.deny(w, q, path)
@@ -154,6 +162,9 @@
 		q.deadline = earlier(q.deadline, clientDeadline)
 		q.answerDeadline = earlier(q.answerDeadline, clientDeadline)
 	}
+	if !s.admitTenant(w, q) {
+		return false
+	}
 	if times := s.shutdown.Load(); times != nil && !times.admits(q.arrived, q.answerDeadline) {
 		s.writeRefusal(w, q, errStopping("the request could outlast it"))
 		return false
@@ -286,7 +297,7 @@
 // its route or the retry budget allows no further attempt.
 func (s *Server) forward(ctx context.Context, w http.ResponseWriter, q *request) (sender.Answer, error) {
 	service := q.route.Next()
-	q.scope = reach.NewScope(service, q.route.Spec().AllowedRegions)
+	q.scope = reach.NewScope(service, q.regions)
 	budget := s.retryBudget(service)
 	budget.AddRequest(q.arrived)
 	state := &retryState{request: q, mayDetour: s.instances.HasDetours()}
--- a/front/server.go
+++ b/front/server.go
@@ -80,6 +80,7 @@
 	held              *hold.Budget
 	targetClients     *targetClients
 	logQuota          *logs.Quota
+	tenantLabels      *tenantLabels
 
 	// shutdown holds the times of the shutdown, nil before it begins.
 	shutdown       atomic.Pointer[shutdownTimes]
@@ -102,7 +103,7 @@
 	instances := peers.NewInstances(self, pool, heartbeats, now)
 	s := &Server{
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
-		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(dial), links: reach.NewLinks(), detours: reach.NewPeers(settings.Zone()), detourClients: &detourClients{byName: map[place.Instance]*sender.Client{}}, guard: poison.NewGuard(), crashVerdicts: &crashVerdicts{latest: map[fleet.Process]*crashVerdict{}}, newsReady: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
+		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(dial), links: reach.NewLinks(), detours: reach.NewPeers(settings.Zone()), detourClients: &detourClients{byName: map[place.Instance]*sender.Client{}}, guard: poison.NewGuard(), crashVerdicts: &crashVerdicts{latest: map[fleet.Process]*crashVerdict{}}, newsReady: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), tenantLabels: &tenantLabels{names: map[place.Tenant]struct{}{}}, retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
--- a/front/stats.go
+++ b/front/stats.go
@@ -25,6 +25,7 @@
 	detours         *prometheus.CounterVec
 	detoured        *prometheus.CounterVec
 	lost            prometheus.Counter
+	tenantRequests  *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -84,7 +85,10 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
-	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	s.tenantRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_tenant_requests_total", Help: "Requests of clients with a key, by tenant and what was answered.",
+	}, []string{fieldTenant, fieldAnswer})
+	s.registry.MustRegister(s.tenantRequests, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
