Start pipelined reads early in front

Pipelined requests were served one after the other, and those of a client that had left ran on. The clients' port now serves through package pipe: a GET or HEAD of an idempotent route starts while earlier requests of its connection are served. Package pipe also sets Connection: close during a shutdown, since only it knows whether a request behind has been started.

--- a/front/note.go
+++ b/front/note.go
@@ -11,6 +11,7 @@
 	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/logs"
 	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/pipe"
 	"github.com/endivechute/endivechute/sender"
 	"github.com/endivechute/endivechute/wait"
 )
@@ -82,6 +83,9 @@
 	fields := logrus.Fields{
 		"id": q.head.ID(), "took_ms": milliseconds(now.Sub(q.arrived)), "knowledge_age_ms": s.feed.Age().Milliseconds(),
 	}
+	if pipe.IsEarly(q.http.Context()) {
+		fields["early"] = true
+	}
 	if q.table != nil {
 		fields["version"] = q.table.Version()
 	}
--- a/front/request.go
+++ b/front/request.go
@@ -80,13 +80,11 @@
 	return q.fingerprintValue
 }
 
-// ServeHTTP serves one request of a client.
+// ServeHTTP serves one request of a client. Package pipe closes the connection after it
+// during a shutdown, because requests that were started early may be behind it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	if s.shuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{http: r, head: platform.ReadRequestHead(r), arrived: s.now(), share: s.held.Share()}
 	defer q.share.Release()
 	defer s.recoverPanic(w, q)
@@ -137,8 +135,7 @@
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNotReady, notReadyRetryAfter, "the configuration, targets or instances are not loaded yet"))
 		return false
 	}
-	path, _, _ := strings.Cut(q.http.URL.RequestURI(), "?")
-	found := false
+	path, found := pathOf(q.http), false
 	if q.route, found = q.table.Find(q.http.Host, path); !found {
 		s.deny(w, q, path)
 		return false
@@ -161,6 +158,12 @@
 	return s.readBody(w, q)
 }
 
+// pathOf returns the path by which a request's route is found.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.URL.RequestURI(), "?")
+	return path
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/front/server.go
+++ b/front/server.go
@@ -30,6 +30,7 @@
 	"github.com/endivechute/endivechute/pace"
 	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/pick"
+	"github.com/endivechute/endivechute/pipe"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/poison"
@@ -263,8 +264,9 @@
 	if err != nil {
 		return err
 	}
-	clientListener := socket.NewDrainListener(listener)
-	clientServer := s.startServer(clientListener, port{"clients", addresses.Clients(), s}, s.feed.Table().Limits(), socket.TrackState)
+	clientListener, limits := socket.NewDrainListener(listener), s.feed.Table().Limits()
+	pipelined := s.pipelined(limits)
+	clientServer := s.startServer(pipelined.Listen(clientListener), port{"clients", addresses.Clients(), pipelined}, limits, pipe.TrackState(socket.TrackState))
 	requestPorts := []drainedPort{{clientServer, clientListener}}
 	detourPort, found, err := s.startDetours(addresses.Detours())
 	if err != nil {
@@ -312,7 +314,7 @@
 func (s *Server) startServer(listener net.Listener, p port, limits route.Limits, onState func(net.Conn, http.ConnState)) *http.Server {
 	server := &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout + idleTimeoutSlack,
-		MaxHeaderBytes: limits.HeaderBytes, ErrorLog: nil, ConnState: onState,
+		MaxHeaderBytes: limits.HeaderBytes, ErrorLog: nil, ConnState: onState, ConnContext: pipe.ConnContext,
 	}
 	go func() {
 		err := server.Serve(listener)
