Add endivechute config check

A fault in a configuration of the platform showed only when instances had it in force: in their logs, or as refused requests. The command reads the file as it was written, without the repairs that serving makes, and lists errors, entries without effect, contradicting limits and the differences from the version in force.

--- a/cmd/endivechute/main.go
+++ b/cmd/endivechute/main.go
@@ -71,6 +71,7 @@
 			newDumpCommand(),
 			newLiftCommand(),
 			newPolicyCommand(),
+			newConfigCommand(),
 			newBlocksCommand(),
 			newDrainCommand(),
 			newStatusCommand(),
--- a/cmd/endivechute/main_test.go
+++ b/cmd/endivechute/main_test.go
@@ -34,6 +34,12 @@
 		"no replay in it":   {"replay ../../examples/kigali/fleet.json", exitUsage, "replay file"},
 		"a replay":          {"replay ../../examples/replay/steady.json", 0, ""},
 		"a good folder":     {"policy check ../../examples/kigali", 0, ""},
+		"no configuration":  {"config check", exitUsage, "0 files"},
+		"two of them":       {"config check a b", exitUsage, "2 files"},
+		"none in force":     {"config check ../../examples/platform/config.json --in-force /nonexistent", exitUsage, "/nonexistent"},
+		"a configuration":   {"config check ../../examples/platform/config.json", 0, ""},
+		"a faulty one":      {"config check ../../examples/platform/faulty.json --in-force ../../examples/platform/config.json", exitFailed, "has errors"},
+		"no config command": {"config nonsense", exitUsage, `"nonsense"`},
 		"the other example": {"policy check ../../examples/bonoseguro", 0, ""},
 	}
 	for name, test := range tests {
