--- a/front/request.go
+++ b/front/request.go
@@ -135,7 +135,8 @@
 		s.writeRefusal(w, q, errs.NotRun(errs.ReasonNotReady, notReadyRetryAfter, "the configuration, targets or instances are not loaded yet"))
 		return false
 	}
-	path, found := pathOf(q.http), false
+	path, _, _ := strings.Cut(q.http.URL.RequestURI(), "?")
+	found := false
 	if q.route, found = q.table.Find(q.http.Host, path); !found {
 		s.deny(w, q, path)
 		return false
@@ -158,12 +159,6 @@
 	return s.readBody(w, q)
 }
 
-// pathOf returns the path by which a request's route is found.
-func pathOf(r *http.Request) string {
-	path, _, _ := strings.Cut(r.URL.RequestURI(), "?")
-	return path
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/front/stats.go
+++ b/front/stats.go
@@ -25,8 +25,6 @@
 	detours         *prometheus.CounterVec
 	detoured        *prometheus.CounterVec
 	lost            prometheus.Counter
-	early           prometheus.Counter
-	earlyCanceled   prometheus.Counter
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -86,13 +84,7 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
-	s.early = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "endivechute_early_requests_total", Help: "Pipelined requests that were started before earlier ones had been answered.",
-	})
-	s.earlyCanceled = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "endivechute_early_requests_canceled_total", Help: "Requests started early that were canceled before their turn, because the client disconnected or an answer closed the connection.",
-	})
-	s.registry.MustRegister(s.early, s.earlyCanceled, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
