--- a/front/request.go
+++ b/front/request.go
@@ -80,11 +80,12 @@
 	return q.fingerprintValue
 }
 
-// ServeHTTP serves one request of a client. Package pipe closes the connection after it
-// during a shutdown, because requests that were started early may be behind it.
+// ServeHTTP serves one request of a client.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
+	// Package pipe closes the connection during a shutdown, because requests that were
+	// started early may be behind this one.
 	q := &request{http: r, head: platform.ReadRequestHead(r), arrived: s.now(), share: s.held.Share()}
 	defer q.share.Release()
 	defer s.recoverPanic(w, q)
