--- a/front/request.go
+++ b/front/request.go
@@ -92,9 +92,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	if s.shuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
+	// Package pipe closes the connection during a shutdown, because requests that were
+	// started early may be behind this one.
 	q := &request{http: r, head: platform.ReadRequestHead(r), arrived: s.now(), share: s.held.Share()}
 	defer q.share.Release()
 	defer s.recoverPanic(w, q)
