Admit requests by priority while a service is short of room

Standing queues refused requests with a short aim first, whatever their priority. While a service is short of room and gets requests of several priorities, lower ones now wait for a part of the shortest aim only, and the slots reserved for higher ones count as taken for them (pick, pure). Without competition, or without a priority in the query, nothing changes (TestWithoutCompetition).

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -55,6 +55,10 @@
 	// ColdShare returns how many requests per second this entry may send to a
 	// cold target.
 	ColdShare func(*fleet.Member) int64
+	// Priority is the priority of the request, which counts while the service is
+	// short of room.
+	Priority Priority
+	claim    claim
 }
 
 // Chooser chooses targets and updates its estimates from the outcomes of
@@ -170,6 +174,7 @@
 // with the number of targets.
 func (c *Chooser) Choose(members []*fleet.Member, q Query, now time.Time) (*Attempt, error) {
 	s := c.serviceFor(q.Service, q.Aim)
+	q.claim = s.competition.observe(q, now)
 	o := objectOf(q, s, now)
 	times := s.serviceTimes()
 	work := scratchPool.Get().(*scratch)
@@ -265,7 +270,7 @@
 // it then returns -1 instead of applying one of these two rules.
 func (c *Chooser) best(candidates []Candidate, partial bool, q Query, times ServiceTimes, now time.Time) (int, Estimate) {
 	fits := func(x Candidate, e Estimate) bool {
-		if x.Unreachable || e.Total > q.TimeLeft || !mayQueue(x, e) {
+		if x.Unreachable || e.Total > q.TimeLeft || !mayQueue(x, e) || !q.mayTake(x, e, times) {
 			return false
 		}
 		return !x.Cold || c.coldLimiter.HasRoom(x.Member.Target(), q.ColdShare(x.Member), now)
@@ -381,7 +386,8 @@
 	}
 	candidate.Crowded = crowded(s.decayedMeanLoad(now), m.Slots(), times)
 	candidate.HeardSlowdown = l.heardSlowdown(now)
-	candidate.Standing = l.updateStanding(q.Aim > 0 && Expect(candidate, times).Wait > maxWait(q.Aim, times), now)
+	candidate.Standing = l.updateStanding(q.Aim > 0 && Expect(candidate, times).Wait > maxWait(q.waitAim(), times), now)
+	candidate.Short = isShort(s.decayedMeanLoad(now), m.Slots(), l.standing)
 	return candidate
 }
 
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -188,7 +188,8 @@
 
 // serviceStats holds this entry's statistics of a service.
 type serviceStats struct {
-	objects *objectTable
+	objects     *objectTable
+	competition competition
 
 	mu    sync.Mutex
 	times ServiceTimes
--- a/pick/score.go
+++ b/pick/score.go
@@ -64,6 +64,9 @@
 	// Crowded is true if the target's service has no room for requests that miss the
 	// cache.
 	Crowded bool
+	// Short is true if the target's service is short of room, or the target because
+	// of its standing queue.
+	Short bool
 }
 
 // ServiceTimes holds the service times of a service: how long its targets work
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -100,7 +100,7 @@
 	now := w.time()
 	chosen, err := a.entry.chooser.Choose(w.members(a.kind.Service), pick.Query{
 		Service: place.Service(a.kind.Service), Object: w.affinityObject(a.object), Aim: a.kind.Aim.Duration(), TimeLeft: a.deadline.Sub(now),
-		Allowed: func(place.Region) bool { return true }, Tried: a.tried, ColdShare: func(*fleet.Member) int64 { return 0 },
+		Allowed: func(place.Region) bool { return true }, Tried: a.tried, ColdShare: func(*fleet.Member) int64 { return 0 }, Priority: a.kind.pickPriority(),
 	}, now)
 	if err != nil {
 		a.done(attemptResult{notRun: true, retryAfter: errs.AsRefusal(err).RetryAfter()})
--- a/replay/file.go
+++ b/replay/file.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/endivechute/endivechute/pick"
 )
 
 // Milliseconds is a duration in milliseconds, as used in scenario files.
@@ -82,6 +84,16 @@
 	// Worth is the value of an answer within Aim, and LateWorth of a later one.
 	Worth     float64 `json:"worth"`
 	LateWorth float64 `json:"late_worth"`
+	// Priority is the priority, 0 being the highest. Without it priorities are
+	// ignored.
+	Priority *int `json:"priority"`
+}
+
+func (k RequestKind) pickPriority() pick.Priority {
+	if k.Priority == nil {
+		return pick.Priority{}
+	}
+	return pick.NewPriority(*k.Priority)
 }
 
 // The values of Disturbance.Kind.
--- a/replay/result.go
+++ b/replay/result.go
@@ -62,6 +62,17 @@
 // All returns the tally of all requests.
 func (r *Result) All() Tally { return r.all }
 
+// Kind returns the tally of the requests of a kind.
+func (r *Result) Kind(name string) Tally { return *tallyOf(r.kinds, name) }
+
+// ServedShare returns the share of the requests that were answered, from 0 to 1.
+func (t Tally) ServedShare() float64 {
+	if t.Requests == 0 {
+		return 0
+	}
+	return float64(t.InAim+t.Late) / float64(t.Requests)
+}
+
 // Between returns the worth of the requests that callers first sent from second
 // from up to, but not including, second to.
 func (r *Result) Between(from, to int) float64 {
