Name instances in look-ups by their capacity

A look-up named all live instances of the zone, so that an instance with 10 Mbit/s got as many downloads as one with 200 Mbit/s. Where the contract pressure is in force, instances register their capacity, and a look-up names a subset chosen by weighted rendezvous hashing of the client's IP address (package direct): by bandwidth for hosts with downloads, by share of a core for others.

--- a/front/dump.go
+++ b/front/dump.go
@@ -30,6 +30,12 @@
 	HeldBytes      int64            `json:"held_bytes"`
 	HeldBytesMax   int64            `json:"held_bytes_max"`
 	Quarantined    []poison.State   `json:"quarantined"`
+	// CPUShare and Mbps are the capacity of this instance, a share of a core and
+	// Mbit/s, and KnownCapacities is the number of live instances whose capacity is
+	// known. They are left out where look-ups don't depend on the capacity.
+	CPUShare        float64 `json:"cpu_share,omitempty"`
+	Mbps            float64 `json:"mbps,omitempty"`
+	KnownCapacities int     `json:"known_capacities,omitempty"`
 	// OutOfReach lists the services whose targets this instance doesn't reach.
 	OutOfReach []place.Service    `json:"out_of_reach"`
 	Targets    []pick.TargetState `json:"targets"`
@@ -45,6 +51,10 @@
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
 		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now),
 	}
+	if s.underPressure() {
+		own := s.ownCapacity()
+		d.CPUShare, d.Mbps, d.KnownCapacities = own.CPUShare, own.Mbps, s.knownCapacities()
+	}
 	if table := s.feed.Table(); table != nil {
 		d.Version, d.Routes = table.Version(), table.Routes()
 	}
--- a/front/lookup.go
+++ b/front/lookup.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivechute/endivechute/peers"
 	"github.com/endivechute/endivechute/platform"
 )
 
@@ -37,20 +38,20 @@
 		return
 	}
 	s.stats.lookups.Inc()
-	addresses, outOfReach := s.instances.Addresses()
-	own := s.settings().Addresses().Clients()
+	entrances, outOfReach := s.instances.Entrances()
+	own := peers.Entrance{Address: s.settings().Addresses().Clients(), Capacity: s.ownCapacity()}
+	isOwn := func(e peers.Entrance) bool { return e.Address == own.Address }
 	switch {
-	case slices.Contains(addresses, own) || slices.Contains(outOfReach, own):
+	case slices.ContainsFunc(entrances, isOwn) || slices.ContainsFunc(outOfReach, isOwn):
 	case s.Ready() && s.links.LostAll():
 		outOfReach = append(outOfReach, own)
-	case s.Ready() || len(addresses)+len(outOfReach) == 0:
-		addresses = append(addresses, own)
+	case s.Ready() || len(entrances)+len(outOfReach) == 0:
+		entrances = append(entrances, own)
 	}
-	if len(addresses) < len(outOfReach) {
-		addresses = append(addresses, outOfReach...)
+	if len(entrances) < len(outOfReach) {
+		entrances = append(entrances, outOfReach...)
 	}
-	addresses = addresses[:min(len(addresses), addressesMax)]
-	if err := platform.WriteLookup(w, addresses, s.lookupTTL()); err != nil {
+	if err := platform.WriteLookup(w, s.named(r, entrances), s.lookupTTL()); err != nil {
 		s.log.WithError(err).Debug("Writing the answer to a look-up failed.")
 	}
 }
--- a/front/note.go
+++ b/front/note.go
@@ -51,6 +51,9 @@
 	refusal := errs.AsRefusal(err)
 	now := s.now()
 	s.countRequest(q, answer, string(refusal.Reason()), answer, now)
+	if answer == answerRefused {
+		s.countRefusal(q, refusal)
+	}
 	class := logs.ClassFailed
 	if refusal.Verdict() == errs.VerdictNotRun {
 		class = logs.ClassRefused
@@ -87,6 +90,9 @@
 	}
 	if q.route != nil {
 		fields["route"] = q.route.Name()
+		if s.underPressure() {
+			fields[fieldPriority] = q.priority()
+		}
 		fields["left_ms"] = milliseconds(q.deadline.Sub(now))
 	}
 	return fields
--- a/front/server.go
+++ b/front/server.go
@@ -344,7 +344,7 @@
 			}
 			adopted = true
 		}
-		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithDetours(addresses.Detours()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now()))
+		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithDetours(addresses.Detours()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now())).WithCapacity(s.ownCapacity())
 		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (registered != own || era != registeredIn) {
 			err := s.store.Put(ctx, platform.KindInstances, string(own.Name()), own.Spec())
 			if err == nil {
--- a/front/stats.go
+++ b/front/stats.go
@@ -25,6 +25,8 @@
 	detours         *prometheus.CounterVec
 	detoured        *prometheus.CounterVec
 	lost            prometheus.Counter
+	weightedLookups *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -84,7 +86,13 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
-	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	s.weightedLookups = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_weighted_lookups_total", Help: "Look-ups that were answered by the capacity of instances, by the kind of capacity.",
+	}, []string{"weight"})
+	s.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_refusals_by_priority_total", Help: "Requests that were refused before they ran, by priority and reason.",
+	}, []string{fieldPriority, fieldReason})
+	s.registry.MustRegister(s.weightedLookups, s.refusals, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
--- a/peers/instances.go
+++ b/peers/instances.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -216,23 +217,30 @@
 	return append(senders, m.self.Instance)
 }
 
-// Addresses returns the addresses for clients of the live instances of this
-// availability zone, except this one, in sorted order: of those that reach targets,
-// and of those that reach none.
-func (m *Instances) Addresses() (inReach, outOfReach []string) {
+// Entrance is a live instance that clients may connect to.
+type Entrance struct {
+	// Address is the address for clients.
+	Address  string
+	Capacity platform.Capacity
+}
+
+// Entrances returns the live instances of this availability zone, except this one,
+// sorted by address: those that reach targets, and those that reach none.
+func (m *Instances) Entrances() (inReach, outOfReach []Entrance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, r := range m.instances {
 		switch {
 		case r.instance.Zone() != m.self.Zone || !m.isLive(name):
 		case m.heartbeats.Health(name).OutOfReach():
-			outOfReach = append(outOfReach, r.instance.Clients())
+			outOfReach = append(outOfReach, Entrance{r.instance.Clients(), r.instance.Capacity()})
 		default:
-			inReach = append(inReach, r.instance.Clients())
+			inReach = append(inReach, Entrance{r.instance.Clients(), r.instance.Capacity()})
 		}
 	}
-	slices.Sort(inReach)
-	slices.Sort(outOfReach)
+	byAddress := func(a, b Entrance) int { return strings.Compare(a.Address, b.Address) }
+	slices.SortFunc(inReach, byAddress)
+	slices.SortFunc(outOfReach, byAddress)
 	return inReach, outOfReach
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -278,6 +278,20 @@
 	return nil, false
 }
 
+// HasDownloads reports whether a host has routes whose answers are large.
+func (t *Table) HasDownloads(host string) bool {
+	prefixes := t.hosts[strings.ToLower(host)]
+	if prefixes == nil {
+		prefixes = t.hosts[withoutPort(host)]
+	}
+	for _, r := range prefixes {
+		if r.Download() {
+			return true
+		}
+	}
+	return false
+}
+
 func withoutPort(host string) string {
 	name, _, _ := strings.Cut(host, ":")
 	return strings.ToLower(name)
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -130,3 +130,13 @@
 		}
 	}
 }
+
+// TestHasDownloads guards against look-ups whose weights don't fit the host.
+func TestHasDownloads(t *testing.T) {
+	routes := route.New(1, []route.Spec{{Host: "Files.example", Prefix: "/a/"}, {Host: "files.example", Prefix: "/b/", Download: true}, {Host: "other.example", Prefix: "/b/"}}, nil, route.Limits{})
+	for host, want := range map[string]bool{"files.example": true, "FILES.example:80": true, "other.example": false, "unknown.example": false, "": false} {
+		if got := routes.HasDownloads(host); got != want {
+			t.Errorf("host %q has downloads: %v, want %v", host, got, want)
+		}
+	}
+}
