Hold long answers whole or stream them, and refuse what has no room

With 300 clients that read nothing of 500 KB for 3 s at an instance with 136 MB, 246 answers were cut off by targets and 90 other requests were refused, because answers took all memory for bodies; 34 were whole. Bodies of known length now take all their room at once or none, what was read of a streamed answer is released once it is written, and under the contract pressure an eighth of the room stays for requests, a streamed answer no longer counts as load or slowness of its target, the time to take a buffered answer is bounded, and downloads are refused before they run while many answers are streamed.

--- a/front/detour.go
+++ b/front/detour.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return platform.DetourAnswer{}, errs.NotRun(errs.ReasonBadRequest, 0, "%v", err)
 	}
-	request = request.WithOverflow(q.share, func(head sender.Answer) (io.Writer, error) {
+	request = request.WithOverflow(s.answerShare(q), func(head sender.Answer) (io.Writer, error) {
 		return s.startStream(w, q, platform.ReadDetourAnswer(head).Answer)
 	})
 	if !q.route.Idempotent() {
--- a/front/request.go
+++ b/front/request.go
@@ -158,7 +158,7 @@
 		s.writeRefusal(w, q, errStopping("the request could outlast it"))
 		return false
 	}
-	return s.readBody(w, q)
+	return s.hasRoomForAnswer(w, q) && s.readBody(w, q)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -213,6 +213,7 @@
 
 // writeAnswer writes a target's answer to the client unchanged.
 func (s *Server) writeAnswer(w http.ResponseWriter, q *request, a sender.Answer) {
+	s.limitWrite(w, a)
 	writeHead(w, a)
 	_, err := w.Write(a.Body())
 	if err != nil {
--- a/front/send.go
+++ b/front/send.go
@@ -142,11 +142,14 @@
 	m := attempt.Member()
 	client := s.clientFor(m)
 	request := platform.NewRequest(q.http, q.body, q.head.ID(), m.Target(), q.answerDeadline, answerBytesMax)
-	request = request.WithOverflow(q.share, func(head sender.Answer) (io.Writer, error) { return s.startStream(w, q, head) })
+	request = request.WithOverflow(s.answerShare(q), func(head sender.Answer) (io.Writer, error) {
+		return s.streamTo(w, q, attempt, head)
+	})
 	if !q.route.Idempotent() {
 		request = request.WithAwaitSilent()
 	}
 	answer, err := client.Do(ctx, request)
+	s.endStream(answer)
 	if err == nil {
 		if problem := platform.CheckResponse(answer); problem != nil {
 			err = errs.MayHaveRun(errs.ReasonCutAnswer, "target %s: %v", m.Target(), problem)
--- a/front/server.go
+++ b/front/server.go
@@ -78,8 +78,10 @@
 	// process may end at any moment.
 	quarantineChanged chan struct{}
 	held              *hold.Budget
-	targetClients     *targetClients
-	logQuota          *logs.Quota
+	// streams counts the answers that are passed on as their clients read them.
+	streams       atomic.Int64
+	targetClients *targetClients
+	logQuota      *logs.Quota
 
 	// shutdown holds the times of the shutdown, nil before it begins.
 	shutdown       atomic.Pointer[shutdownTimes]
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -31,13 +31,23 @@
 func (b *Budget) Limit() int64 { return b.limit }
 
 // Share returns an empty Share of the budget.
-func (b *Budget) Share() *Share { return &Share{budget: b} }
+func (b *Budget) Share() *Share {
+	return &Share{budget: b, limit: b.limit, taken: &atomic.Int64{}}
+}
 
 // Share is what one request has taken from a Budget. It is safe for use by
 // several goroutines.
 type Share struct {
 	budget *Budget
-	taken  atomic.Int64
+	// limit is how many bytes of the budget may be used after a call of Take.
+	limit int64
+	taken *atomic.Int64
+}
+
+// Leaving returns a view of the share that takes nothing of the last reserve bytes of
+// the budget. What it takes counts as taken by the share.
+func (s *Share) Leaving(reserve int64) *Share {
+	return &Share{budget: s.budget, limit: s.limit - reserve, taken: s.taken}
 }
 
 // Take adds n bytes to the share. It returns false and takes nothing if the
@@ -46,7 +56,7 @@
 	if s == nil {
 		return true
 	}
-	if s.budget.used.Add(int64(n)) > s.budget.limit {
+	if s.budget.used.Add(int64(n)) > s.limit {
 		s.budget.used.Add(int64(-n))
 		return false
 	}
@@ -57,10 +67,27 @@
 // Release returns all bytes of the share to the budget.
 func (s *Share) Release() { s.budget.used.Add(-s.taken.Swap(0)) }
 
+// Return returns n bytes of the share to the budget, or what it has if that is less.
+func (s *Share) Return(n int) {
+	if s == nil || n <= 0 {
+		return
+	}
+	for {
+		taken := s.taken.Load()
+		returned := min(int64(n), taken)
+		if s.taken.CompareAndSwap(taken, taken-returned) {
+			s.budget.used.Add(-returned)
+			return
+		}
+	}
+}
+
 // ReadAll reads until the end of the reader, or until limit bytes have been read
 // or the share gets no more room. whole reports whether it reached the end; if
 // not, the rest is still to be read. The first free bytes are not taken from the
-// share. length is the expected number of bytes, -1 if it is unknown.
+// share. length is the expected number of bytes, -1 if it is unknown. Room for all of
+// them is taken at once or not at all: otherwise many long bodies at once would each
+// take a part of the room, and none of them would be read whole.
 func ReadAll(reader io.Reader, share *Share, length int64, limit, free int) (data []byte, whole bool, err error) {
 	room := free
 	first := chunkBytes
@@ -68,6 +95,13 @@
 		// One more byte leaves room to see the end.
 		first = int(length) + 1
 	}
+	if whole := length + 1; length >= int64(free) && whole <= int64(limit) {
+		if share.Take(int(whole) - free) {
+			room, first = int(whole), int(whole)
+		} else {
+			limit = free
+		}
+	}
 	data = make([]byte, 0, min(first, limit+1))
 	for {
 		if len(data) == cap(data) {
--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -92,3 +93,49 @@
 		t.Errorf("%d bytes are used after all releases", budget.Used())
 	}
 }
+
+// TestReadAllTakesAllOrNothing reads more bodies of known length at once than fit. It
+// guards against a budget that is spent on parts of bodies, none of which is whole.
+func TestReadAllTakesAllOrNothing(t *testing.T) {
+	const length, free, fit, bodies = 500_000, 8 << 10, 3, 20
+	budget := hold.New(fit * (length + 1 - free))
+	var tasks conc.WaitGroup
+	var whole atomic.Int64
+	for range bodies {
+		tasks.Go(func() {
+			data, ok, err := hold.ReadAll(iotest.HalfReader(strings.NewReader(strings.Repeat("x", length))), budget.Share(), length, 1<<20, free)
+			if err != nil {
+				t.Error(err)
+			}
+			if ok {
+				whole.Add(1)
+			} else if cap(data) > free {
+				t.Errorf("a body that doesn't fit has a buffer of %d bytes, want at most %d", cap(data), free)
+			}
+		})
+	}
+	tasks.Wait()
+	if whole.Load() != fit {
+		t.Errorf("%d bodies are whole, want %d", whole.Load(), fit)
+	}
+}
+
+// TestReserve guards against shares that take the reserve of others, and against bytes
+// that are returned twice.
+func TestReserve(t *testing.T) {
+	budget := hold.New(100)
+	share := budget.Share()
+	leaving := share.Leaving(30)
+	if leaving.Take(71) || !leaving.Take(70) || leaving.Take(1) || !share.Take(30) {
+		t.Errorf("%d bytes are used, want 70 and then 100", budget.Used())
+	}
+	leaving.Return(60)
+	if budget.Used() != 40 {
+		t.Errorf("%d bytes are used, want 40", budget.Used())
+	}
+	share.Return(50)
+	share.Release()
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes are used after the release", budget.Used())
+	}
+}
--- a/pick/choose.go
+++ b/pick/choose.go
@@ -112,6 +112,8 @@
 	// considered is the number of candidates, and unreachable how many of them were
 	// found unreachable.
 	considered, unreachable int
+	// streamedAt is when the answer started to be streamed, zero if it isn't.
+	streamedAt time.Time
 }
 
 // Member returns the chosen target.
@@ -411,10 +413,10 @@
 // Done records the outcome of a request. report is the target's load report,
 // nil if it sent none; rtt is the round-trip time to the target, 0 if unknown.
 func (a *Attempt) Done(outcome Outcome, report *Report, rtt time.Duration, now time.Time) {
-	took := now.Sub(a.at)
 	l := a.stats
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	took := a.took(now)
 	delete(l.running, a)
 	l.decay(now)
 	if rtt > 0 {
