Keep the buffer of a streamed answer counted until its end

Releasing it once it was written raised the memory in TestLongAnswers from 44 to 142 and 160 MiB of 136, because the released room was given to other streams while the buffers were still in use. It is 43 to 46 MiB again, and TestSlowReaders gives the same counts.

--- a/hold/hold.go
+++ b/hold/hold.go
@@ -67,21 +67,6 @@
 // Release returns all bytes of the share to the budget.
 func (s *Share) Release() { s.budget.used.Add(-s.taken.Swap(0)) }
 
-// Return returns n bytes of the share to the budget, or what it has if that is less.
-func (s *Share) Return(n int) {
-	if s == nil || n <= 0 {
-		return
-	}
-	for {
-		taken := s.taken.Load()
-		returned := min(int64(n), taken)
-		if s.taken.CompareAndSwap(taken, taken-returned) {
-			s.budget.used.Add(-returned)
-			return
-		}
-	}
-}
-
 // ReadAll reads until the end of the reader, or until limit bytes have been read
 // or the share gets no more room. whole reports whether it reached the end; if
 // not, the rest is still to be read. The first free bytes are not taken from the
--- a/sender/body.go
+++ b/sender/body.go
@@ -145,14 +145,12 @@
 	if _, err := writer.Write(buffered); err != nil {
 		return errors.Mark(errors.Wrap(err, "write the answer to its caller"), errCallerGone)
 	}
-	written := len(buffered)
-	r.share.Return(cap(buffered) - uncountedBytes)
 	rest := io.Reader(b)
 	if b.length < 0 {
-		rest = io.LimitReader(b, int64(max(r.answerBytesMax-written, 0))+1)
+		rest = io.LimitReader(b, int64(max(r.answerBytesMax-len(buffered), 0))+1)
 	}
 	copied, err := copyBody(writer, rest)
-	if err == nil && b.length < 0 && written+copied > r.answerBytesMax {
+	if err == nil && b.length < 0 && len(buffered)+copied > r.answerBytesMax {
 		return errors.Wrapf(errIncompleteAnswer, "the answer's body of unknown length is longer than %d bytes", r.answerBytesMax)
 	}
 	if err != nil {
