--- a/front/send.go
+++ b/front/send.go
@@ -105,7 +105,7 @@
 	timeLeft := s.timeLeft(q.deadline, now)
 	attempt, err := s.chooser.Choose(s.feed.View().Members(service), pick.Query{
 		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: timeLeft,
-		Allowed: q.allowedIn, Tried: t.tried, ColdShare: s.coldShare,
+		Allowed: q.allowedIn, Tried: t.tried, ColdShare: s.coldShare, Priority: s.priorityOf(q),
 	}, now)
 	if err != nil && timeLeft < q.deadline.Sub(now) && errs.AsRefusal(err).Reason() == errs.ReasonTargetBusy {
 		// Another instance may have the time that this one lacks.
@@ -142,11 +142,14 @@
 	m := attempt.Member()
 	client := s.clientFor(m)
 	request := platform.NewRequest(q.http, q.body, q.head.ID(), m.Target(), q.answerDeadline, answerBytesMax)
-	request = request.WithOverflow(q.share, func(head sender.Answer) (io.Writer, error) { return s.startStream(w, q, head) })
+	request = request.WithOverflow(s.answerShare(q), func(head sender.Answer) (io.Writer, error) {
+		return s.streamTo(w, q, attempt, head)
+	})
 	if !q.route.Idempotent() {
 		request = request.WithAwaitSilent()
 	}
 	answer, err := client.Do(ctx, request)
+	s.endStream(answer)
 	if err == nil {
 		if problem := platform.CheckResponse(answer); problem != nil {
 			err = errs.MayHaveRun(errs.ReasonCutAnswer, "target %s: %v", m.Target(), problem)
--- a/front/server.go
+++ b/front/server.go
@@ -79,9 +79,11 @@
 	// process may end at any moment.
 	quarantineChanged chan struct{}
 	held              *hold.Budget
-	targetClients     *targetClients
-	logQuota          *logs.Quota
-	tenantLabels      *tenantLabels
+	// streams counts the answers that are passed on as their clients read them.
+	streams       atomic.Int64
+	targetClients *targetClients
+	logQuota      *logs.Quota
+	tenantLabels  *tenantLabels
 
 	// shutdown holds the times of the shutdown, nil before it begins.
 	shutdown       atomic.Pointer[shutdownTimes]
@@ -347,7 +349,7 @@
 			}
 			adopted = true
 		}
-		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithDetours(addresses.Detours()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now()))
+		own := platform.NewInstance(s.self.Instance, s.self.Zone, addresses.Clients(), addresses.Peers()).WithDetours(addresses.Detours()).WithQuarantined(s.guard.Quarantined(quarantinedMax, s.now())).WithCapacity(s.ownCapacity())
 		if s.feed.KnowsInstances() && !s.feed.IsRegistered(own) && (registered != own || era != registeredIn) {
 			err := s.store.Put(ctx, platform.KindInstances, string(own.Name()), own.Spec())
 			if err == nil {
--- a/front/stats.go
+++ b/front/stats.go
@@ -26,6 +26,8 @@
 	detoured        *prometheus.CounterVec
 	lost            prometheus.Counter
 	tenantRequests  *prometheus.CounterVec
+	weightedLookups *prometheus.CounterVec
+	refusals        *prometheus.CounterVec
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -88,7 +90,13 @@
 	s.tenantRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_tenant_requests_total", Help: "Requests of clients with a key, by tenant and what was answered.",
 	}, []string{fieldTenant, fieldAnswer})
-	s.registry.MustRegister(s.tenantRequests, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	s.weightedLookups = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_weighted_lookups_total", Help: "Look-ups that were answered by the capacity of instances, by the kind of capacity.",
+	}, []string{"weight"})
+	s.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_refusals_by_priority_total", Help: "Requests that were refused before they ran, by priority and reason.",
+	}, []string{fieldPriority, fieldReason})
+	s.registry.MustRegister(s.tenantRequests, s.weightedLookups, s.refusals, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
