Add the pure decisions and messages of tenants' quotas

Nothing kept a tenant within a quota over all instances. Package quota now has the fleet's token bucket of an instance (Limiter) and the sums of a zone (Collector), package wire the messages 70 to 73 between them.

--- /dev/null
+++ b/quota/limiter.go
@@ -0,0 +1,347 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/endivechute/endivechute/place"
+)
+
+const (
+	// horizon is the time for whose requests the tokens have to suffice.
+	horizon = time.Second
+	// demandMemory is the time constant of the fleet's demand. It has to be short,
+	// because the counts that it is computed from are up to 0.6 s old.
+	demandMemory = 300 * time.Millisecond
+	// ownSpan is the time over which the instance's own requests are counted, in
+	// ownBins bins. Fewer than significant requests say nothing about the demand.
+	ownSpan     = 300 * time.Millisecond
+	ownBins     = 6
+	significant = 8
+	// A bucket starts with startSlack of the slack, less the requests of startDebt at the
+	// quota's rate, because the previous usage is unknown.
+	startSlack = 0.25
+	startDebt  = 0.5
+	// The bounds of the time after which a refused client may try again.
+	retryAfterMin = 500 * time.Millisecond
+	retryAfterMax = 5 * time.Second
+)
+
+// Limiter decides at one instance which requests of tenants are admitted. It is safe
+// for concurrent use.
+type Limiter struct {
+	mu      sync.Mutex
+	random  func() float64
+	started time.Time
+	bounds  Bounds
+	// instances is the number of instances in the fleet.
+	instances int
+	buckets   map[place.Tenant]*bucket
+	// sequence is the number of the latest report, which is unacknowledged if
+	// waiting is set.
+	sequence  uint64
+	waiting   bool
+	known     Position
+	lastReply time.Time
+	cutOff    bool
+	// active is when requests of a tenant with a quota were last received, here or
+	// anywhere in the fleet.
+	active time.Time
+}
+
+// bucket is the fleet's token bucket of one tenant, as this instance computes it.
+type bucket struct {
+	quota Quota
+	// tokens are those at refilled. Own requests are taken out at once, those of
+	// others when a reply tells of them.
+	tokens   float64
+	refilled time.Time
+	// pending holds what no report contains yet, sent what is in the latest report.
+	pending, sent Counts
+	fleet         Counts
+	// replied holds the tokens as of the last reply, and since how many requests were
+	// admitted here since then.
+	replied float64
+	since   int64
+	// fleetDemand and ownDemand are the rates of the requests that the replies told
+	// of, fleetUsage and ownUsage those of the admitted ones.
+	fleetDemand, ownDemand, fleetUsage, ownUsage average
+	recent                                       recent
+	// share is the part of the quota that the instance has while it is cut off, reserved
+	// the part that is counted for others that are.
+	share, reserved float64
+}
+
+// recent counts the requests of the last ownSpan.
+type recent struct {
+	bins   [ownBins]int
+	newest int64
+}
+
+// count adds n requests and returns the number of those in the last ownSpan.
+func (r *recent) count(n int, sinceStart time.Duration) (total int) {
+	bin := int64(sinceStart / (ownSpan / ownBins))
+	for r.newest < bin {
+		r.newest = max(r.newest+1, bin-ownBins)
+		r.bins[r.newest%ownBins] = 0
+	}
+	r.bins[r.newest%ownBins] += n
+	for _, bin := range r.bins {
+		total += bin
+	}
+	return total
+}
+
+// NewLimiter returns a Limiter. random returns random numbers from 0 to 1.
+func NewLimiter(bounds Bounds, random func() float64, now time.Time) *Limiter {
+	return &Limiter{random: random, started: now, bounds: bounds, instances: 1, buckets: map[place.Tenant]*bucket{}, lastReply: now}
+}
+
+// Update sets the quotas that are in force and the number of instances in the fleet.
+// Tenants without a quota are forgotten.
+func (l *Limiter) Update(quotas map[place.Tenant]Quota, bounds Bounds, instances int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bounds, l.instances = bounds, instances
+	for name := range l.buckets {
+		if _, found := quotas[name]; !found {
+			delete(l.buckets, name)
+		}
+	}
+	if len(quotas) == 0 {
+		// Without quotas there are no replies, and nobody is cut off.
+		l.lastReply, l.cutOff = now, false
+	}
+	for name, q := range quotas {
+		l.bucket(name, q, now)
+	}
+	l.checkReplies(now)
+}
+
+// bucket returns the bucket of a tenant with the quota that is in force now.
+func (l *Limiter) bucket(name place.Tenant, q Quota, now time.Time) *bucket {
+	q = l.bounds.effective(q)
+	b, found := l.buckets[name]
+	if !found {
+		tokens := min(l.bounds.Slack*startSlack, q.burst) - startDebt*q.perSecond
+		b = &bucket{quota: q, tokens: tokens, refilled: now, share: 1 / float64(max(l.instances, 1))}
+		b.replied = b.tokens
+		l.buckets[name] = b
+	}
+	if b.quota != q {
+		b.refill(l.cutOff, now)
+		b.quota = q
+	}
+	return b
+}
+
+// inForce returns the rate and the burst that the instance may use.
+func (b *bucket) inForce(cutOff bool) (perSecond, burst float64) {
+	if cutOff {
+		return b.quota.perSecond * b.share, b.quota.burst * b.share
+	}
+	return b.quota.perSecond, b.quota.burst * (1 - b.reserved)
+}
+
+func (b *bucket) refill(cutOff bool, now time.Time) {
+	perSecond, burst := b.inForce(cutOff)
+	if passed := now.Sub(b.refilled); passed > 0 {
+		b.tokens += perSecond * passed.Seconds()
+		b.refilled = now
+	}
+	b.tokens = min(b.tokens, burst)
+}
+
+// checkReplies limits the instance to its share of each quota if there has been no
+// reply for too long. Its zone counts that share for it.
+func (l *Limiter) checkReplies(now time.Time) {
+	if l.cutOff || now.Sub(l.lastReply) <= silentAfter {
+		return
+	}
+	for _, b := range l.buckets {
+		b.refill(false, now)
+		b.share = share(b.quota.perSecond, b.ownUsage, b.fleetUsage, l.instances)
+		tokens := b.replied + b.quota.perSecond*now.Sub(l.lastReply).Seconds()
+		b.tokens = min(tokens, b.quota.burst)*b.share - float64(b.since)
+	}
+	l.cutOff = true
+}
+
+// Admit decides whether a request of a tenant is admitted. If not, the client may try
+// again after retryAfter.
+func (l *Limiter) Admit(name place.Tenant, q Quota, now time.Time) (retryAfter time.Duration, admitted bool) {
+	if !q.Limited() {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkReplies(now)
+	b := l.bucket(name, q, now)
+	l.active = now
+	b.pending.asked++
+	expected := b.demand(l.cutOff, b.recent.count(1, now.Sub(l.started))) * horizon.Seconds()
+	b.refill(l.cutOff, now)
+	perSecond := b.quota.perSecond * (1 - b.reserved)
+	if l.cutOff {
+		perSecond = b.quota.perSecond * b.share
+	}
+	available := b.tokens + perSecond*horizon.Seconds()
+	if available > 0 && (available >= expected || l.random()*expected < available) {
+		b.tokens--
+		b.since++
+		b.pending.admitted++
+		return 0, true
+	}
+	wait := time.Duration(max(expected-available, 0) / perSecond * float64(time.Second))
+	if wait < 0 || wait > retryAfterMax {
+		wait = retryAfterMax
+	}
+	// The times are spread, so that those refused together don't return together.
+	return time.Duration((0.5 + l.random()) * float64(max(wait, retryAfterMin))), false //nolint:mnd // half to one and a half times
+}
+
+// demand returns the expected requests per second in the whole fleet, or here if the
+// instance is cut off. own is the number of requests here in the last ownSpan. A rise
+// of it counts before a reply tells of it.
+func (b *bucket) demand(cutOff bool, own int) float64 {
+	ownNow := 0.0
+	if own >= significant {
+		ownNow = float64(own) / ownSpan.Seconds()
+	}
+	if cutOff {
+		return ownNow
+	}
+	return float64(b.fleetDemand) + max(ownNow-float64(b.ownDemand), 0)
+}
+
+// Return takes back an admitted request that ran at no target and never will.
+func (l *Limiter) Return(name place.Tenant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, found := l.buckets[name]; found {
+		b.tokens++
+		b.since--
+		b.pending.admitted--
+	}
+}
+
+// Active reports whether the instance or the fleet has had requests of tenants with
+// quotas within the given time.
+func (l *Limiter) Active(within time.Duration, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waiting || !l.active.IsZero() && now.Sub(l.active) < within
+}
+
+// Report returns the next report. It repeats the previous one if Take hasn't been
+// called since, because the reply may have been lost.
+func (l *Limiter) Report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.waiting {
+		l.sequence++
+		l.waiting = true
+		for _, b := range l.buckets {
+			b.sent, b.pending = b.pending, Counts{}
+		}
+	}
+	r := Report{Sequence: l.sequence, Usage: Usage{}, Known: l.known}
+	for name, b := range l.buckets {
+		if b.sent != (Counts{}) {
+			r.Usage[name] = b.sent
+		}
+	}
+	return r
+}
+
+// Take takes in the reply to the latest report: the counts of the fleet.
+func (l *Limiter) Take(t Totals, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkReplies(now)
+	sameCollector := t.Position.ID == l.known.ID
+	since := now.Sub(l.lastReply)
+	// All counts of a new collector are of requests since then if it is younger. If
+	// not, its first counts are the baseline.
+	isYounger := t.Age <= since
+	for name, b := range l.buckets {
+		total, changed := t.Usage[name]
+		if !changed && sameCollector {
+			total = b.fleet
+		}
+		b.refill(l.cutOff, now)
+		switch {
+		case l.cutOff:
+			// The tokens are those of the instance's share.
+		case sameCollector:
+			b.take(total.minus(b.fleet), since)
+			if total != b.fleet {
+				l.active = now
+			}
+		case isYounger:
+			b.take(total, since)
+		default:
+			// What others admitted since the last reply can't be told from the counts.
+			b.tokens -= max(float64(b.fleetUsage-b.ownUsage), 0) * since.Seconds()
+		}
+		b.reserve(t.Reserved[name])
+		b.fleet, b.sent = total, Counts{}
+		b.replied, b.since = b.tokens, 0
+	}
+	l.known, l.lastReply, l.cutOff, l.waiting = t.Position, now, false, false
+}
+
+// reserve sets the part of the quota that is counted for others that are cut off. They
+// may use that part of the tokens, too, as of the time when they were heard last.
+func (b *bucket) reserve(part float64) {
+	if more := part - b.reserved; more > 0 && b.tokens > 0 {
+		used := float64(b.fleetDemand) * silentAfter.Seconds()
+		b.tokens -= (b.tokens + used) * more
+	}
+	b.reserved = part
+}
+
+// take takes in what the fleet received and admitted since the previous reply. What is
+// in sent is included, and its tokens are taken already. After a time without replies
+// sent may hold more than the fleet counts.
+func (b *bucket) take(fleet Counts, since time.Duration) {
+	b.tokens -= max(float64(fleet.admitted-b.sent.admitted), 0)
+	b.fleetDemand.add(float64(fleet.asked), since, demandMemory)
+	b.ownDemand.add(float64(min(b.sent.asked, fleet.asked)), since, demandMemory)
+	b.fleetUsage.add(float64(fleet.admitted), since, shareMemory)
+	b.ownUsage.add(float64(min(b.sent.admitted, fleet.admitted)), since, shareMemory)
+}
+
+// State is what the dump of a process shows of a tenant's quota.
+type State struct {
+	Tenant    place.Tenant `json:"tenant"`
+	PerSecond float64      `json:"per_second"`
+	Burst     float64      `json:"burst"`
+	Tokens    float64      `json:"tokens"`
+	// Demand is the expected number of requests per second in the whole fleet.
+	Demand    float64 `json:"demand"`
+	AgeMillis int64   `json:"age_ms"`
+	CutOff    bool    `json:"cut_off"`
+}
+
+// States returns the states of all tenants with a quota, by name. AgeMillis is the
+// time since the last reply.
+func (l *Limiter) States(now time.Time) []State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkReplies(now)
+	states := make([]State, 0, len(l.buckets))
+	for name, b := range l.buckets {
+		b.refill(l.cutOff, now)
+		perSecond, burst := b.inForce(l.cutOff)
+		states = append(states, State{
+			Tenant: name, PerSecond: perSecond, Burst: burst, Tokens: b.tokens,
+			Demand:    b.demand(l.cutOff, b.recent.count(0, now.Sub(l.started))),
+			AgeMillis: now.Sub(l.lastReply).Milliseconds(), CutOff: l.cutOff,
+		})
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Tenant, b.Tenant) })
+	return states
+}
