Keep tenants within their quotas over all instances

Requests of a tenant beyond its quota were all sent on. A request that no target ran gives its token back.

Tested with instances in three zones, one of which stops while it is the collector, and with the refusals themselves.

--- a/errs/verdict.go
+++ b/errs/verdict.go
@@ -80,6 +80,7 @@
 	ReasonNotReady      Reason = "not-ready"
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonCanceled      Reason = "canceled"
+	ReasonQuota         Reason = "quota"
 )
 
 // Refusal is the error with which a request finally fails: the verdict, the
--- a/front/dump.go
+++ b/front/dump.go
@@ -8,6 +8,7 @@
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/poison"
+	"github.com/endivechute/endivechute/quota"
 )
 
 // Dump is the state of a process that /dump shows to operators.
@@ -33,6 +34,7 @@
 	// OutOfReach lists the services whose targets this instance doesn't reach.
 	OutOfReach []place.Service    `json:"out_of_reach"`
 	Targets    []pick.TargetState `json:"targets"`
+	Quotas     []quota.State      `json:"quotas"`
 }
 
 // Dump returns the current state of the process.
@@ -44,6 +46,7 @@
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
 		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now),
+		Quotas: s.limiter.States(now),
 	}
 	if table := s.feed.Table(); table != nil {
 		d.Version, d.Routes = table.Version(), table.Routes()
--- a/front/request.go
+++ b/front/request.go
@@ -45,7 +45,10 @@
 	head  platform.RequestHead
 	route *route.Route
 	// tenant is the tenant whose key the request has, nil if it needs none.
-	tenant  *tenant.Tenant
+	tenant *tenant.Tenant
+	// countsAgainstQuota is true if the request was admitted within the tenant's quota.
+	countsAgainstQuota bool
+
 	body    []byte
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the end of the
@@ -94,6 +97,7 @@
 		return
 	}
 	answer, err := s.forward(r.Context(), w, q)
+	s.returnQuota(q, err)
 	s.finish(w, q, answer, err)
 }
 
@@ -158,7 +162,14 @@
 		s.writeRefusal(w, q, errStopping("the request could outlast it"))
 		return false
 	}
-	return s.readBody(w, q)
+	if !s.checkQuota(w, q) {
+		return false
+	}
+	if !s.readBody(w, q) {
+		s.returnQuota(q, errs.NotRun(errs.ReasonBadRequest, 0, "the body can't be read"))
+		return false
+	}
+	return true
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -249,6 +260,9 @@
 	switch {
 	case refusal.Verdict() == errs.VerdictNotRun:
 		status, retryAfter = http.StatusServiceUnavailable, max(refusal.RetryAfter(), retryAfterMin)
+		if refusal.Reason() == errs.ReasonQuota {
+			status = http.StatusTooManyRequests
+		}
 	case refusal.Reason() == errs.ReasonDeadline:
 		status = http.StatusGatewayTimeout
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -33,6 +34,7 @@
 	"github.com/endivechute/endivechute/place"
 	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/poison"
+	"github.com/endivechute/endivechute/quota"
 	"github.com/endivechute/endivechute/reach"
 	"github.com/endivechute/endivechute/route"
 	"github.com/endivechute/endivechute/sender"
@@ -80,6 +82,13 @@
 	held              *hold.Budget
 	targetClients     *targetClients
 	logQuota          *logs.Quota
+	// limiter keeps tenants within their quotas. collector sums up the counts of the
+	// zone while this instance is the chosen one, collectors holds the other ones.
+	limiter    *quota.Limiter
+	collector  *quota.Collector
+	collectors *collectors
+	// quotas returns the quotas that are in force, by tenant.
+	quotas func() map[place.Tenant]quota.Quota
 
 	// shutdown holds the times of the shutdown, nil before it begins.
 	shutdown       atomic.Pointer[shutdownTimes]
@@ -104,6 +113,9 @@
 		metricsPort: metricsPort, started: now(), now: now, log: log, stats: newStats(), self: self, pool: pool,
 		heartbeats: heartbeats, instances: instances, coldLimiter: pace.NewColdLimiter(), rateLimiter: pace.NewRateLimiter(instances.Turn), targetClients: newTargetClients(dial), links: reach.NewLinks(), detours: reach.NewPeers(settings.Zone()), detourClients: &detourClients{byName: map[place.Instance]*sender.Client{}}, guard: poison.NewGuard(), crashVerdicts: &crashVerdicts{latest: map[fleet.Process]*crashVerdict{}}, newsReady: make(chan struct{}, 1), quarantineChanged: make(chan struct{}, 1), held: hold.New(heldBytes(settings.MemoryBytes())), logQuota: logs.NewQuota(), retryBudgets: map[place.Service]*pace.RetryBudget{},
 	}
+	s.limiter = quota.NewLimiter(settings.Bounds().Quota(), rand.Float64, now())
+	s.collector, s.collectors = quota.NewCollector(self.Zone, collectorSeed(self)), newCollectors()
+	s.quotas = s.configuredQuotas
 	s.current.Store(settings)
 	s.sendContext, s.cancelSends = context.WithCancel(context.Background())
 	s.store = platform.NewStore(settings.Store(), s.stats.recordStoreCall)
@@ -176,6 +188,10 @@
 		return ack
 	case *wire.Follow:
 		return s.feed.HandleFollow(ctx, m)
+	case *wire.Usage:
+		return s.handleUsage(from, m)
+	case *wire.ZoneUsage:
+		return s.handleZoneUsage(from, m)
 	}
 	return &wire.Refused{Verdict: errs.VerdictNotRun, Reason: errs.ReasonBadRequest, Text: "this process doesn't serve such calls"}
 }
@@ -204,6 +220,7 @@
 	tasks.Go(func() { s.register(background) })
 	tasks.Go(func() { s.runProbes(background) })
 	tasks.Go(func() { s.runNews(background) })
+	tasks.Go(func() { s.runQuotas(background) })
 	tasks.Go(func() { s.reportSuppressed(background) })
 	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings().Store()}).Info("Starting.")
 	err = s.serve(ctx)
--- a/front/stats.go
+++ b/front/stats.go
@@ -25,6 +25,7 @@
 	detours         *prometheus.CounterVec
 	detoured        *prometheus.CounterVec
 	lost            prometheus.Counter
+	quota           quotaStats
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -84,6 +85,7 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
+	s.quota = newQuotaStats(s.registry)
 	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
--- a/quota/collector.go
+++ b/quota/collector.go
@@ -19,6 +19,16 @@
 	// freshFor is how long after a message the shares are kept up to date. Later, those
 	// that are heard have requests that the silent one's rates don't include.
 	freshFor = 250 * time.Millisecond
+	// creditMax is the length of a silence up to which the requests during it count as
+	// far as they exceed the estimate. Messages may just have been late. In a longer
+	// one both sides keep to their parts.
+	creditMax = 2 * time.Second
+	// startSpread is how much older another collector may be that counts as begun at the
+	// same time.
+	startSpread = time.Second
+	// reservedMax limits the part of a quota that is counted for others. The parts of
+	// those that were never heard may add up to more than the whole.
+	reservedMax = 0.9
 	// sourceMemory is how long another collector that is silent is remembered.
 	sourceMemory = time.Minute
 	// estimateMax and zoneEstimateMax are how long requests are counted for an instance
@@ -90,8 +100,10 @@
 	// that has begun.
 	estimated, shares map[place.Tenant]float64
 	silent            bool
-	// backlog is how many more messages tell of a silence that has ended.
+	// backlog is how many more messages tell of a silence that has ended, and long is
+	// true if that took longer than creditMax.
 	backlog int
+	long    bool
 	// unknown is true if there has been no message at all.
 	unknown bool
 }
@@ -100,13 +112,19 @@
 	return activity{heard: now, usage: map[place.Tenant]average{}, latest: Usage{}, estimated: map[place.Tenant]float64{}, shares: map[place.Tenant]float64{}}
 }
 
-// take takes in the counts of a message, and returns what is to be counted. What tells of
-// the silence is counted already: both sides kept to their parts then.
-func (a *activity) take(name place.Tenant, counts Counts) Counts {
-	if a.silent || a.backlog > 0 {
+// take takes in the counts of a message, and returns what is to be counted.
+func (a *activity) take(name place.Tenant, counts Counts, now time.Time) Counts {
+	ending := a.silent || a.backlog > 0
+	if ending && (a.long || now.Sub(a.heard) > creditMax) {
+		// Both sides kept to their parts, which are counted already.
 		return Counts{}
 	}
 	a.latest[name] = a.latest[name].plus(counts)
+	if ending {
+		credit := min(int64(a.estimated[name]), max(counts.admitted, 0))
+		a.estimated[name] -= float64(credit)
+		counts.admitted -= credit
+	}
 	return counts
 }
 
@@ -115,11 +133,13 @@
 func (a *activity) takeEnd(backlog int, now time.Time) {
 	switch {
 	case a.silent:
-		a.backlog = backlog
+		a.backlog, a.long = backlog, now.Sub(a.heard) > creditMax
 	case a.backlog > 0:
 		a.backlog--
 	}
-	clear(a.estimated)
+	if a.backlog == 0 {
+		clear(a.estimated)
+	}
 	a.heard, a.silent, a.unknown = now, false, false
 }
 
@@ -173,7 +193,7 @@
 	if m.incarnation != incarnation || m.sequence < r.Sequence {
 		m.incarnation, m.sequence = incarnation, r.Sequence
 		for name, counts := range r.Usage {
-			counts = m.take(name, counts)
+			counts = m.take(name, counts, now)
 			c.add(c.own, name, counts)
 			c.add(c.fleet, name, counts)
 		}
@@ -239,7 +259,7 @@
 		}
 		s = &source{counts: Usage{}}
 		z.sources[t.Position.ID] = s
-		baseline = t.Age > youngAge || t.Age > now.Sub(c.began)
+		baseline = t.Age > youngAge || t.Age > now.Sub(c.began)+startSpread
 	}
 	if t.After > s.revision {
 		return Position{ID: t.Position.ID, Revision: s.revision}
@@ -249,7 +269,7 @@
 			difference := counts.minus(s.counts[name])
 			s.counts[name] = counts
 			if !baseline {
-				c.add(c.fleet, name, z.take(name, difference))
+				c.add(c.fleet, name, z.take(name, difference, now))
 			}
 		}
 		s.revision, s.reserved = t.Position.Revision, t.Reserved
@@ -276,6 +296,9 @@
 	// availability zones.
 	Instances int
 	Zones     []place.Zone
+	// Chosen is true if the instances of this zone should report to this collector.
+	// Those that don't report to one that isn't chosen aren't silent.
+	Chosen bool
 	// Ended reports whether the process of an instance of this zone is known to have
 	// ended, so that its silence isn't a cut link.
 	Ended func(place.Instance) bool
@@ -294,25 +317,7 @@
 	c.revision++
 	clear(c.reserved)
 	clear(c.ownReserved)
-	whole := map[place.Tenant]average{}
-	for _, z := range f.Zones {
-		if _, found := c.zones[z]; !found {
-			// A zone that was never heard may be cut off, too.
-			c.zones[z] = &zone{sources: map[uint64]*source{}, activity: newActivity(c.began)}
-			c.zones[z].unknown = true
-		}
-	}
-	for name, m := range c.members {
-		if f.Ended(name) || now.Sub(m.heard) > estimateMax {
-			delete(c.members, name)
-			continue
-		}
-		m.settle(passed, whole, now)
-	}
-	for _, z := range c.zones {
-		maps.DeleteFunc(z.sources, func(_ uint64, s *source) bool { return now.Sub(s.heard) > sourceMemory })
-		z.settle(passed, whole, now)
-	}
+	whole := c.settle(f, passed, now)
 	for name, q := range f.Quotas {
 		q = f.Bounds.effective(q)
 		for _, m := range c.members {
@@ -345,8 +350,33 @@
 
 func reserve(of map[place.Tenant]float64, name place.Tenant, part float64) {
 	if part > 0 {
-		of[name] = min(of[name]+part, 1)
+		of[name] = min(of[name]+part, reservedMax)
+	}
+}
+
+// settle updates the rates of all, and returns those of the whole fleet. It forgets who
+// has been silent for too long.
+func (c *Collector) settle(f Fleet, passed time.Duration, now time.Time) map[place.Tenant]average {
+	whole := map[place.Tenant]average{}
+	for _, z := range f.Zones {
+		if _, found := c.zones[z]; !found {
+			// A zone that was never heard may be cut off, too.
+			c.zones[z] = &zone{sources: map[uint64]*source{}, activity: newActivity(c.began)}
+			c.zones[z].unknown = true
+		}
+	}
+	for name, m := range c.members {
+		if f.Ended(name) || now.Sub(m.heard) > estimateMax || !f.Chosen && now.Sub(m.heard) > silentAfter {
+			delete(c.members, name)
+			continue
+		}
+		m.settle(passed, whole, now)
+	}
+	for _, z := range c.zones {
+		maps.DeleteFunc(z.sources, func(_ uint64, s *source) bool { return now.Sub(s.heard) > sourceMemory })
+		z.settle(passed, whole, now)
 	}
+	return whole
 }
 
 // settle updates the rates, unless there has been no message for too long, and adds
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -46,9 +46,6 @@
 	known     Position
 	lastReply time.Time
 	cutOff    bool
-	// active is when requests of a tenant with a quota were last received, here or
-	// anywhere in the fleet.
-	active time.Time
 }
 
 // bucket is the fleet's token bucket of one tenant, as this instance computes it.
@@ -169,6 +166,15 @@
 	l.cutOff = true
 }
 
+// CutOff reports whether there has been no reply for so long that the instance keeps to
+// its share of the quotas.
+func (l *Limiter) CutOff(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkReplies(now)
+	return l.cutOff
+}
+
 // Admit decides whether a request of a tenant is admitted. If not, the client may try
 // again after retryAfter.
 func (l *Limiter) Admit(name place.Tenant, q Quota, now time.Time) (retryAfter time.Duration, admitted bool) {
@@ -179,7 +185,6 @@
 	defer l.mu.Unlock()
 	l.checkReplies(now)
 	b := l.bucket(name, q, now)
-	l.active = now
 	b.pending.asked++
 	expected := b.demand(l.cutOff, b.recent.count(1, now.Sub(l.started))) * horizon.Seconds()
 	b.refill(l.cutOff, now)
@@ -227,14 +232,6 @@
 	}
 }
 
-// Active reports whether the instance or the fleet has had requests of tenants with
-// quotas within the given time.
-func (l *Limiter) Active(within time.Duration, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.waiting || !l.active.IsZero() && now.Sub(l.active) < within
-}
-
 // Report returns the next report. It repeats the previous one if Take hasn't been
 // called since, because the reply may have been lost.
 func (l *Limiter) Report() Report {
@@ -274,12 +271,13 @@
 		b.refill(l.cutOff, now)
 		switch {
 		case l.cutOff:
-			// The tokens are those of the instance's share.
+			// The tokens are those of the instance's share, or those of a start, because
+			// a process that starts gets its first reply late.
+			if l.known.ID == 0 {
+				b.tokens = max(b.tokens, b.replied-float64(b.since))
+			}
 		case sameCollector:
 			b.take(total.minus(b.fleet), since)
-			if total != b.fleet {
-				l.active = now
-			}
 		case isYounger:
 			b.take(total, since)
 		default:
