--- a/front/quota_test.go
+++ b/front/quota_test.go
@@ -89,7 +89,7 @@
 		t.Fatal(err)
 	}
 	s := quotaServer{Server: New(settings, "", sender.DialTCP, time.Now, logs.Discard())}
-	s.Server.quotas = func() map[place.Tenant]quota.Quota { return quotas }
+	s.quotas = func() map[place.Tenant]quota.Quota { return quotas }
 	ctx, cancel := context.WithCancel(context.Background())
 	var running conc.WaitGroup
 	running.Go(func() {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -13,8 +13,12 @@
 	// horizon is the time for whose requests the tokens have to suffice.
 	horizon = time.Second
 	// demandMemory is the time constant of the fleet's demand. It has to be short,
-	// because the counts that it is computed from are up to 0.6 s old.
-	demandMemory = 300 * time.Millisecond
+	// because the counts that it is computed from are up to 0.6 s old. With a low quota
+	// it is the time of demandRequests, up to demandMemoryMax, because a few requests
+	// that come together by chance are no rise.
+	demandMemory    = 300 * time.Millisecond
+	demandMemoryMax = time.Second
+	demandRequests  = 6
 	// ownSpan is the time over which the instance's own requests are counted, in
 	// ownBins bins. Fewer than significant requests say nothing about the demand.
 	ownSpan     = 300 * time.Millisecond
@@ -306,8 +310,10 @@
 // sent may hold more than the fleet counts.
 func (b *bucket) take(fleet Counts, since time.Duration) {
 	b.tokens -= max(float64(fleet.admitted-b.sent.admitted), 0)
-	b.fleetDemand.add(float64(fleet.asked), since, demandMemory)
-	b.ownDemand.add(float64(min(b.sent.asked, fleet.asked)), since, demandMemory)
+	memory := time.Duration(demandRequests / b.quota.perSecond * float64(time.Second))
+	memory = min(max(memory, demandMemory), demandMemoryMax)
+	b.fleetDemand.add(float64(fleet.asked), since, memory)
+	b.ownDemand.add(float64(min(b.sent.asked, fleet.asked)), since, memory)
 	b.fleetUsage.add(float64(fleet.admitted), since, shareMemory)
 	b.ownUsage.add(float64(min(b.sent.admitted, fleet.admitted)), since, shareMemory)
 }
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -79,8 +79,8 @@
 
 // silentAfter is how long after the last message an instance or a zone counts as cut
 // off. Messages come every 200 ms. A tenant whose demand rises at the moment of the cut
-// gets too much on both sides until then: at 1 s more than the bounds allow.
-const silentAfter = 500 * time.Millisecond
+// gets too much on both sides until then: with 1 s up to 4 % more than the bounds allow.
+const silentAfter = 600 * time.Millisecond
 
 const (
 	// shareMemory is the time constant of the rates from which shares are computed.
--- a/wire/message_size_test.go
+++ b/wire/message_size_test.go
@@ -53,3 +53,25 @@
 		})
 	}
 }
+
+// TestUsageBounded checks the size of the messages of quotas with as many tenants as a
+// deployment has, because each instance sends and gets them five times a second.
+func TestUsageBounded(t *testing.T) {
+	const tenants, bytesMax, emptyMax = 74, 3 << 10, 128
+	totals := UsageTotals{Position: UsagePosition{ID: math.MaxUint64, Revision: math.MaxUint32}, After: math.MaxUint32, AgeMillis: math.MaxInt32}
+	for name, limit := range map[string]int{"nothing changed": emptyMax, "all changed": bytesMax} {
+		if limit == bytesMax {
+			for range tenants {
+				totals.Counts = append(totals.Counts, TenantCounts{Tenant: "tenant-0123456789", Asked: math.MaxInt32, Admitted: math.MaxInt32})
+			}
+		}
+		payload, err := marshal(&UsageReply{Totals: totals})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(payload) > limit {
+			t.Errorf("%s: the reply has %d bytes, want at most %d", name, len(payload), limit)
+		}
+		totals.Counts = nil
+	}
+}
