--- a/errs/verdict.go
+++ b/errs/verdict.go
@@ -81,6 +81,7 @@
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonCanceled      Reason = "canceled"
 	ReasonUnauthorized  Reason = "unauthorized"
+	ReasonQuota         Reason = "quota"
 )
 
 // Refusal is the error with which a request finally fails: the verdict, the
--- a/front/request.go
+++ b/front/request.go
@@ -48,6 +48,9 @@
 	tenant *tenant.Tenant
 	// regions are the only regions that may serve the request. If empty, all may.
 	regions []place.Region
+	// countsAgainstQuota is true if the request was admitted within the tenant's quota.
+	countsAgainstQuota bool
+
 	body    []byte
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the end of the
@@ -101,6 +104,7 @@
 		return
 	}
 	answer, err := s.forward(r.Context(), w, q)
+	s.returnQuota(q, err)
 	s.finish(w, q, answer, err)
 }
 
@@ -168,7 +172,17 @@
 		s.writeRefusal(w, q, errStopping("the request could outlast it"))
 		return false
 	}
-	return s.hasRoomForAnswer(w, q) && s.readBody(w, q)
+	return s.checkQuota(w, q) && s.readAdmitted(w, q)
+}
+
+// readAdmitted reads the body of a request that its tenant's quota admits. It reports
+// whether the request can be sent; if not, it has answered it.
+func (s *Server) readAdmitted(w http.ResponseWriter, q *request) bool {
+	if s.hasRoomForAnswer(w, q) && s.readBody(w, q) {
+		return true
+	}
+	s.returnQuota(q, errs.NotRun(errs.ReasonBadRequest, 0, "the request can't be sent"))
+	return false
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -260,6 +274,9 @@
 	switch {
 	case refusal.Verdict() == errs.VerdictNotRun:
 		status, retryAfter = http.StatusServiceUnavailable, max(refusal.RetryAfter(), retryAfterMin)
+		if refusal.Reason() == errs.ReasonQuota {
+			status = http.StatusTooManyRequests
+		}
 	case refusal.Reason() == errs.ReasonDeadline:
 		status = http.StatusGatewayTimeout
 	}
--- a/front/stats.go
+++ b/front/stats.go
@@ -28,6 +28,7 @@
 	tenantRequests  *prometheus.CounterVec
 	weightedLookups *prometheus.CounterVec
 	refusals        *prometheus.CounterVec
+	quota           quotaStats
 }
 
 // latencyBuckets are the bounds of the latency histogram in seconds. They cover
@@ -87,6 +88,7 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
+	s.quota = newQuotaStats(s.registry)
 	s.tenantRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_tenant_requests_total", Help: "Requests of clients with a key, by tenant and what was answered.",
 	}, []string{fieldTenant, fieldAnswer})
