--- a/front/stats.go
+++ b/front/stats.go
@@ -89,6 +89,14 @@
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
 	s.quota = newQuotaStats(s.registry)
+	s.addCompetition()
+	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	return s
+}
+
+// addCompetition adds the metrics of what callers compete for: tenants, look-ups by
+// capacity and priorities.
+func (s *stats) addCompetition() {
 	s.tenantRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_tenant_requests_total", Help: "Requests of clients with a key, by tenant and what was answered.",
 	}, []string{fieldTenant, fieldAnswer})
@@ -98,8 +106,7 @@
 	s.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_refusals_by_priority_total", Help: "Requests that were refused before they ran, by priority and reason.",
 	}, []string{fieldPriority, fieldReason})
-	s.registry.MustRegister(s.tenantRequests, s.weightedLookups, s.refusals, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
-	return s
+	s.registry.MustRegister(s.tenantRequests, s.weightedLookups, s.refusals)
 }
 
 // recordStoreCall counts a call to the store and its time.
