Let targets be chosen among replicas of an object

Cause: all entries of a region send an object to one target, so that a popular object makes its queue long, and noise on shared machines is taken for slowness.

Change: pick.Query has a Policy. Single chooses as before; Replicated considers the first targets of each region, learns how likely each position hits its cache, and chooses the least expected time with near ties broken at random. Reported work factors count for the expected time and are taken out of observed durations.

--- a/pick/choose.go
+++ b/pick/choose.go
@@ -52,6 +52,8 @@
 	Allowed func(place.Region) bool
 	// Tried lists the targets that the request was already sent to.
 	Tried []place.Target
+	// Policy says on which targets objects are kept cached; nil means Single.
+	Policy Policy
 	// ColdShare returns how many requests per second this entry may send to a
 	// cold target.
 	ColdShare func(*fleet.Member) int64
@@ -95,6 +97,11 @@
 	object       uint64
 	keyed        bool
 	likelyCached bool
+	// choice says how a replica was chosen, nil unless the policy is Replicated and the
+	// request concerns an object.
+	choice *replicaChoice
+	// workFactor is the expected work factor of the target's machine, 0 if unknown.
+	workFactor float64
 	// sampled is true if the duration of the request is a sample of the service
 	// time: a slot was free, and it is certain whether the target has the object
 	// cached.
@@ -175,12 +182,20 @@
 	work := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(work)
 	if len(members) > shortlistMax {
-		c.shortlist(work, members, q, o)
+		if q.replicated() && q.Object != "" {
+			c.listReplicas(work, members, q, o, true)
+		} else {
+			c.shortlist(work, members, q, o)
+		}
 		if attempt, _ := c.chooseFrom(work, q, s, o, times, now); attempt != nil {
 			return attempt, nil
 		}
 	}
-	c.listAll(work, members, q, o)
+	if q.replicated() && q.Object != "" {
+		c.listReplicas(work, members, q, o, false)
+	} else {
+		c.listAll(work, members, q, o)
+	}
 	attempt, refusal := c.chooseFrom(work, q, s, o, times, now)
 	if attempt != nil {
 		return attempt, nil
@@ -200,7 +215,12 @@
 // chooseFrom returns an attempt at the best of the listed targets. If none can
 // take the request, it returns a refusal, nil if no target is eligible at all.
 func (c *Chooser) chooseFrom(work *scratch, q Query, s *serviceStats, o object, times ServiceTimes, now time.Time) (*Attempt, error) {
-	candidates := c.candidates(work, q, s, o, times, now)
+	var candidates []Candidate
+	if q.replicated() && q.Object != "" {
+		candidates = c.replicas(work, q, s, o, times, now)
+	} else {
+		candidates = c.candidates(work, q, s, o, times, now)
+	}
 	if len(candidates) == 0 {
 		return nil, nil //nolint:nilnil // documented
 	}
@@ -219,7 +239,7 @@
 			continue
 		}
 		c.regionLimiter.Count(chosen.Distance == OtherRegion, now)
-		attempt := c.send(chosen, estimate, s, o.hash, q, now)
+		attempt := c.send(chosen, estimate, s, o.hash, q, times, now)
 		attempt.considered, attempt.unreachable = len(candidates), countUnreachable(candidates)
 		return attempt, nil
 	}
@@ -235,16 +255,19 @@
 	return n
 }
 
-func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, object uint64, q Query, now time.Time) *Attempt {
+func (c *Chooser) send(chosen Candidate, estimate Estimate, s *serviceStats, object uint64, q Query, times ServiceTimes, now time.Time) *Attempt {
 	c.mu.Lock()
 	l := c.statsFor(chosen.Member, s, now)
 	c.mu.Unlock()
 	attempt := &Attempt{
 		chooser: c, member: chosen.Member, service: s, stats: l, object: object, keyed: q.Object != "",
 		likelyCached: chosen.LikelyCached, at: now, estimate: estimate,
-		distance: chosen.Distance, load: chosen.Load, expected: estimate.nominal,
+		distance: chosen.Distance, load: chosen.Load, expected: estimate.nominal, workFactor: chosen.WorkFactor,
 		sampled: estimate.Wait == 0 && !chosen.Cold && chosen.Slowdown < sampleSlowdownMax && (chosen.LikelyCached || chosen.Rank > 0),
 	}
+	if chosen.Replicated {
+		attempt.setReplica(chosen, times)
+	}
 	l.mu.Lock()
 	l.running[attempt] = struct{}{}
 	if !l.reportedAt.IsZero() {
@@ -381,6 +404,9 @@
 	}
 	candidate.Crowded = crowded(s.decayedMeanLoad(now), m.Slots(), times)
 	candidate.HeardSlowdown = l.heardSlowdown(now)
+	if q.replicated() {
+		candidate.WorkFactor = l.workFactor(now)
+	}
 	candidate.Standing = l.updateStanding(q.Aim > 0 && Expect(candidate, times).Wait > maxWait(q.Aim, times), now)
 	return candidate
 }
@@ -417,7 +443,10 @@
 	if report != nil {
 		l.otherLoad = max(0, float64(report.Running+report.Waiting-len(l.running)))
 		l.reportedAt = now
-		a.service.observeLoad(l.otherLoad, now)
+		l.report = *report
+		l.report.At = now
+		a.service.observeLoad(l.otherLoad, a.member.Slots(), meanLoadGain, now)
+		l.observeWorkFactor(report.WorkFactor, now)
 	}
 	switch o := outcome.(type) {
 	case Answered:
@@ -428,6 +457,12 @@
 			return
 		}
 		l.updateFailureRate(0)
+		// Work that takes longer because the machine is shared doesn't make the target slow.
+		took = l.rtt + time.Duration(float64(took-l.rtt)/a.workFactorUntil(report))
+		if a.choice != nil {
+			l.observeReplica(a, took, report, now)
+			return
+		}
 		l.observeDuration(took, a.expected)
 		if a.sampled {
 			a.service.observeServiceTime(took-l.rtt, a.likelyCached)
@@ -444,6 +479,7 @@
 			l.markUnreachable(now)
 		}
 	case Abandoned:
+		took = l.rtt + time.Duration(float64(took-l.rtt)/a.workFactorUntil(nil))
 		if took > a.expected {
 			l.observeDuration(took, a.expected)
 		}
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -86,7 +86,12 @@
 	// otherLoad is the load from other entries, as of the last report.
 	otherLoad  float64
 	reportedAt time.Time
-	slowdown   float64
+	// report is the last report that the target sent to this entry.
+	report Report
+	// factor is the last work factor that the target reported, as of factorAt.
+	factor   float64
+	factorAt time.Time
+	slowdown float64
 	// heard is the slowdown that another entry has seen, as of heardAt.
 	heard       float64
 	heardAt     time.Time
@@ -141,7 +146,7 @@
 	slowdown := l.slowdown
 	for s := range l.running {
 		if s.expected > 0 {
-			slowdown = max(slowdown, min(float64(now.Sub(s.at))/float64(s.expected)-1, slowdownMax))
+			slowdown = max(slowdown, min(float64(now.Sub(s.at))/(float64(s.expected)*max(s.workFactor, 1))-1, slowdownMax))
 		}
 	}
 	return slowdown
@@ -196,6 +201,12 @@
 	// reports of all targets, and meanLoadAt the time of the last report.
 	meanLoad   float64
 	meanLoadAt time.Time
+	// meanUse is the moving average of the same load per slot.
+	meanUse float64
+	// meanFactor is the moving average of the work factors that targets report.
+	meanFactor float64
+	factorAt   time.Time
+	hits       hitEstimates
 }
 
 // The initial service times of a service, as factors of the aim of its route.
@@ -226,10 +237,11 @@
 
 // observeLoad updates the mean load from the load that other entries cause at
 // one of the targets.
-func (s *serviceStats) observeLoad(others float64, now time.Time) {
+func (s *serviceStats) observeLoad(others float64, slots int, gain float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.meanLoad += meanLoadGain * (others - s.meanLoad)
+	s.meanLoad += gain * (others - s.meanLoad)
+	s.meanUse += gain * (others/float64(max(slots, 1)) - s.meanUse)
 	s.meanLoadAt = now
 }
 
--- a/pick/list.go
+++ b/pick/list.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/place"
 )
 
 // shortlistMax is the number of targets that a choice considers first. Those
@@ -32,7 +33,10 @@
 
 // scratch holds the slices of a choice, which are reused.
 type scratch struct {
-	listed []listedTarget
+	listed  []listedTarget
+	regions []regionList
+	// home is the region of the target that is preferred for the object.
+	home place.Region
 	// partial is set if listed is a shortlist.
 	partial    bool
 	candidates []Candidate
--- a/pick/list_test.go
+++ b/pick/list_test.go
@@ -151,6 +151,13 @@
 // there. The limit on requests that leave the region must hold as among all
 // targets.
 func TestShortlistStaysInRegion(t *testing.T) {
+	for name, policy := range map[string]Policy{"single": Single{}, "replicated": Replicated{}} {
+		t.Run(name, func(t *testing.T) { checkShortlistStaysInRegion(t, policy) })
+	}
+}
+
+func checkShortlistStaysInRegion(t *testing.T, policy Policy) {
+	t.Helper()
 	const targets, local, requests, windows = 400, 4, 400, 4
 	members := make([]*fleet.Member, 0, targets)
 	for i := range targets {
@@ -170,6 +177,7 @@
 		left := 0
 		for i := range requests {
 			q := testQuery(fmt.Sprint(window, i))
+			q.Policy = policy
 			if window < 2 {
 				q.Allowed = func(r place.Region) bool { return r == "a" }
 			}
@@ -193,7 +201,13 @@
 }
 
 // BenchmarkChoose measures one choice at different sizes of a service.
-func BenchmarkChoose(b *testing.B) {
+func BenchmarkChoose(b *testing.B) { benchmarkChoose(b, Single{}) }
+
+// BenchmarkChooseReplicated measures one choice under the policy Replicated.
+func BenchmarkChooseReplicated(b *testing.B) { benchmarkChoose(b, Replicated{}) }
+
+func benchmarkChoose(b *testing.B, policy Policy) {
+	b.Helper()
 	for _, targets := range []int{36, 429, 4290} {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
 			members, c := testFleet(targets), newTestChooser()
@@ -202,6 +216,7 @@
 			queries := make([]Query, objects)
 			for i := range queries {
 				queries[i] = testQuery(fmt.Sprint("object ", i))
+				queries[i].Policy = policy
 			}
 			b.ReportAllocs()
 			for i := range b.N {
--- a/pick/score.go
+++ b/pick/score.go
@@ -64,6 +64,15 @@
 	// Crowded is true if the target's service has no room for requests that miss the
 	// cache.
 	Crowded bool
+	// WorkFactor is how many times as long as usual work currently takes at the
+	// target's machine, 0 if it doesn't report that.
+	WorkFactor float64
+	// Replicated is true under the policy Replicated for a request with an object. Rank
+	// doesn't count then, but Replica, HitProbability and MissPenalty: the cost of a
+	// miss beyond its own time, as a multiple of the time that a hit saves.
+	Replicated                  bool
+	Replica                     Replica
+	HitProbability, MissPenalty float64
 }
 
 // ServiceTimes holds the service times of a service: how long its targets work
@@ -112,7 +121,12 @@
 // expectsHit reports whether the target is expected to have the object cached:
 // this entry recently sent a request for it there, or all entries prefer the
 // target for it.
-func (c Candidate) expectsHit() bool { return c.LikelyCached || c.Rank == 0 }
+func (c Candidate) expectsHit() bool {
+	if c.Replicated {
+		return c.HitProbability >= likelyHit || c.Replica.Home
+	}
+	return c.LikelyCached || c.Rank == 0
+}
 
 // slow reports whether the target is so slow that its objects move to the next
 // target.
@@ -123,7 +137,10 @@
 	mean := float64(times.Hit+times.Miss) / 2
 	slots := float64(max(c.Member.Slots(), 1))
 	serviceTime := float64(times.Miss)
-	if c.expectsHit() {
+	switch {
+	case c.Replicated:
+		serviceTime = float64(times.Hit) + (1-c.HitProbability)*float64(times.Miss-times.Hit)
+	case c.expectsHit():
 		serviceTime = float64(times.Hit)
 	}
 	slowdown := c.Slowdown
@@ -132,11 +149,20 @@
 	}
 	wait := max(c.Load+1-slots, 0) / slots * float64(times.Hit)
 	nominal := float64(c.RTT) + wait + serviceTime
-	wait *= slowdown
-	total := float64(c.RTT) + wait + serviceTime*slowdown
-	cost := total + serviceTime*max(c.HeardSlowdown-slowdown, 0) + mean*(failCost*c.FailureRate+rankCost*float64(min(c.Rank, rankMax)))
-	if !c.expectsHit() {
-		cost += missCost * float64(times.Miss-times.Hit)
+	workSlowdown := slowdown
+	if c.WorkFactor > 0 {
+		workSlowdown *= c.WorkFactor
+	}
+	wait *= workSlowdown
+	total := float64(c.RTT) + wait + serviceTime*workSlowdown
+	cost := total + serviceTime*max(c.HeardSlowdown-slowdown, 0) + mean*failCost*c.FailureRate
+	switch {
+	case c.Replicated:
+		cost += c.replicaCost(times, mean)
+	case c.expectsHit():
+		cost += mean * rankCost * float64(min(c.Rank, rankMax))
+	default:
+		cost += mean*rankCost*float64(min(c.Rank, rankMax)) + missCost*float64(times.Miss-times.Hit)
 	}
 	switch c.Distance {
 	case SameZone:
@@ -152,7 +178,8 @@
 }
 
 // Best returns the index and the estimate of the candidate with the lowest cost
-// among those for which admit returns true, or -1 if there is none.
+// among those for which admit returns true, or -1 if there is none. Replicas whose
+// costs are nearly the lowest are chosen from at random.
 func Best(candidates []Candidate, times ServiceTimes, admit func(Candidate, Estimate) bool) (int, Estimate) {
 	best, least := -1, Estimate{}
 	for i, c := range candidates {
@@ -164,5 +191,8 @@
 			best, least = i, estimate
 		}
 	}
+	if best >= 0 && candidates[best].Replicated {
+		return nearBest(candidates, times, admit, least.cost)
+	}
 	return best, least
 }
