Share load reports within a zone and use replicas in front

Cause: an entry hears from a target only every few seconds, and nothing chose the policy that keeps objects on several targets.

Change: message Loads (kind 74) goes every 200 ms to four random live instances of the zone. The policy is Replicated where the contract pressure is in force or targets report a work factor, else Single. Logs, metrics and the dump show it. A peer that closes the connection on the unknown kind is left alone for a while.

Result: front TestPolicy, TestHearsLoads, wire TestLoadsBounded.

--- a/front/dump.go
+++ b/front/dump.go
@@ -33,6 +33,8 @@
 	// OutOfReach lists the services whose targets this instance doesn't reach.
 	OutOfReach []place.Service    `json:"out_of_reach"`
 	Targets    []pick.TargetState `json:"targets"`
+	// Replicated lists the services whose objects are kept on several targets.
+	Replicated []place.Service `json:"replicated_services"`
 }
 
 // Dump returns the current state of the process.
@@ -43,7 +45,7 @@
 		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), LimitedTargets: s.rateLimiter.Size(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
-		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now),
+		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now), Replicated: s.replicatedServices(now),
 	}
 	if table := s.feed.Table(); table != nil {
 		d.Version, d.Routes = table.Version(), table.Routes()
--- a/front/note.go
+++ b/front/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,10 @@
 	fieldService = "service"
 )
 
+// fieldReplica is the log field and the label of metrics for the position of a target
+// among the replicas of an object.
+const fieldReplica = "replica"
+
 // fieldPeer is the log field for another instance.
 const fieldPeer = "peer"
 
@@ -113,6 +118,10 @@
 func (s *Server) recordAttempt(q *request, attempt *pick.Attempt, outcome pick.Outcome, answer sender.Answer, err error, now time.Time) {
 	name, class := classifyOutcome(outcome)
 	s.stats.sends.WithLabelValues(name, distanceName(attempt.Distance())).Inc()
+	replica, replicated := attempt.Replica()
+	if replicated {
+		s.stats.replicaSends.WithLabelValues(replicaName(replica)).Inc()
+	}
 	allowed := s.logQuota.Allow(class, now)
 	if class == logs.ClassDone {
 		q.sampled = allowed
@@ -130,6 +139,10 @@
 	fields["load"] = attempt.Load()
 	fields["load_age_ms"] = attempt.LoadAge().Milliseconds()
 	fields["familiar"] = attempt.LikelyCached()
+	if replicated {
+		fields[fieldReplica] = replicaName(replica)
+		fields["hit_probability"] = math.Round(100*attempt.HitProbability()) / 100
+	}
 	fields["expected_ms"] = milliseconds(attempt.Estimate().Total)
 	fields["sent_for_ms"] = milliseconds(now.Sub(attempt.At()))
 	if answer.Status() != 0 {
--- a/front/send.go
+++ b/front/send.go
@@ -106,6 +106,7 @@
 	attempt, err := s.chooser.Choose(s.feed.View().Members(service), pick.Query{
 		Service: service, Object: object, Aim: q.route.Aim(), TimeLeft: timeLeft,
 		Allowed: q.route.AllowedIn, Tried: t.tried, ColdShare: s.coldShare,
+		Policy: s.policy(service, now),
 	}, now)
 	if err != nil && timeLeft < q.deadline.Sub(now) && errs.AsRefusal(err).Reason() == errs.ReasonTargetBusy {
 		// Another instance may have the time that this one lacks.
--- a/front/server.go
+++ b/front/server.go
@@ -174,6 +174,9 @@
 		ack := s.heartbeats.Ack()
 		ack.Leaving, ack.OutOfReach = !s.Ready(), s.links.LostAll()
 		return ack
+	case *wire.Loads:
+		s.hearLoads(m)
+		return &wire.Ack{}
 	case *wire.Follow:
 		return s.feed.HandleFollow(ctx, m)
 	}
@@ -204,6 +207,7 @@
 	tasks.Go(func() { s.register(background) })
 	tasks.Go(func() { s.runProbes(background) })
 	tasks.Go(func() { s.runNews(background) })
+	tasks.Go(func() { s.runLoads(background) })
 	tasks.Go(func() { s.reportSuppressed(background) })
 	s.log.WithFields(logrus.Fields{"instance": s.self.Instance, "zone": s.self.Zone, "store": s.settings().Store()}).Info("Starting.")
 	err = s.serve(ctx)
--- a/front/stats.go
+++ b/front/stats.go
@@ -11,6 +11,7 @@
 	registry        *prometheus.Registry
 	requests        *prometheus.CounterVec
 	sends           *prometheus.CounterVec
+	replicaSends    *prometheus.CounterVec
 	latency         *prometheus.HistogramVec
 	storeCalls      *prometheus.CounterVec
 	storeCallTime   prometheus.Histogram
@@ -84,7 +85,10 @@
 	s.lost = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "endivechute_losses_of_reach_total", Help: "How often the targets of a service, or all targets, went out of reach.",
 	})
-	s.registry.MustRegister(s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
+	s.replicaSends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_replica_sends_total", Help: "Requests handed to targets under the policy replicated, by the position of the target among the object's replicas.",
+	}, []string{fieldReplica})
+	s.registry.MustRegister(s.replicaSends, s.detours, s.detoured, s.lost, s.requests, s.sends, s.latency, s.storeCalls, s.storeCallTime, s.lookups, s.probes, s.suppressedLines, s.streamed, s.leaving, s.pauses, s.limited, s.quarantined)
 	return s
 }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -19,7 +19,8 @@
 
 // The kinds of the core messages. The other parts of the protocol have their own
 // ranges: 10 to 19 roster, 20 to 29 at-most-once keys, 30 to 39 leases and limits
-// of targets, 40 to 49 settings, 50 to 59 membership, 60 to 69 platform objects.
+// of targets, 40 to 49 settings, 50 to 59 membership, 60 to 69 platform objects,
+// 74 load reports.
 const (
 	KindHello        Kind = 1
 	KindCancel       Kind = 2
@@ -205,6 +206,7 @@
 	newLimitsMessage,
 	newMemberMessage,
 	newFollowMessage,
+	newLoadsMessage,
 }
 
 func newCoreMessage(k Kind) Message {
--- a/wire/message_size_test.go
+++ b/wire/message_size_test.go
@@ -53,3 +53,24 @@
 		})
 	}
 }
+
+// TestLoadsBounded checks the size of a message with as many load reports as one may
+// have. Instances with 10 Mbit/s send 20 of them a second.
+func TestLoadsBounded(t *testing.T) {
+	const most, bytesMax = 64, 2560
+	message := &Loads{}
+	for range most {
+		message.Reports = append(message.Reports, TargetLoad{Target: "i-0123456789", Born: 1764811731000, Running: 4, Waiting: 300, WorkPercent: 250, AgeMillis: 999})
+	}
+	payload, err := marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(payload) > bytesMax {
+		t.Errorf("the message has %d bytes, want at most %d", len(payload), bytesMax)
+	}
+	read, err := unmarshal(frame{kind: KindLoads, payload: payload})
+	if loads, ok := read.(*Loads); err != nil || !ok || len(loads.Reports) != most {
+		t.Errorf("read %T, error %v", read, err)
+	}
+}
