Replay popular objects, shared machines and regions of different size

Cause: the scenarios of the replay had objects that are all as popular, machines without noise and the same targets in each region, so that they could not tell the policies Single and Replicated apart.

Change: scenarios have a policy, a skew of the objects, objects that all regions share, slot sizes, noise and targets by region; entries of the replay share load reports.

--- a/pick/policy.go
+++ b/pick/policy.go
@@ -33,7 +33,7 @@
 const (
 	// ownReplicas and otherReplicas are how many of the first targets of this
 	// entry's region and of each other region are considered first.
-	ownReplicas   = 4
+	ownReplicas   = 6
 	otherReplicas = 2
 	// ownListed and otherListed are how many targets of a region are listed to find
 	// that many that are reachable and not slow.
@@ -79,7 +79,7 @@
 
 // initialHits are the assumed probabilities of a hit by class, until durations of
 // requests tell.
-var initialHits = [replicaClasses]float64{0.4, 0.4, 0.25, 0.1, 0.05, 0.3, 0.15, 0.05, 0.95, 0.9}
+var initialHits = [replicaClasses]float64{0.4, 0.4, 0.25, 0.1, 0.1, 0.1, 0.05, 0.3, 0.15, 0.05, 0.95, 0.9}
 
 const (
 	// hitGain is the weight of a sample in the probability of a hit.
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -23,6 +23,11 @@
 	// to observationsMax targets.
 	shareInterval   = 500 * time.Millisecond
 	observationsMax = 32
+	// loadsInterval is the time between two messages with up to loadsMax load reports,
+	// which go to loadsPeers other entries of the zone.
+	loadsInterval = 200 * time.Millisecond
+	loadsMax      = 64
+	loadsPeers    = 4
 )
 
 // entry simulates an entry. Packages pick and pace make its decisions, as in a
@@ -44,9 +49,25 @@
 	if !w.policy.Silent {
 		w.events.After(time.Duration(w.random.Int64N(int64(shareInterval))), e.share)
 	}
+	if w.placement == (pick.Replicated{}) && !w.policy.KeepReports {
+		w.events.After(time.Duration(w.random.Int64N(int64(loadsInterval))), e.shareLoads)
+	}
 	return e
 }
 
+// shareLoads tells some other entries of the zone the recent load reports of targets.
+func (e *entry) shareLoads() {
+	w := e.world
+	sent := w.time()
+	loads := e.chooser.Loads(loadsMax, func(place.Service) bool { return true }, sent)
+	others := slices.DeleteFunc(w.entriesIn(string(e.zone)), func(other *entry) bool { return other == e })
+	w.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, other := range others[:min(len(others), loadsPeers)] {
+		w.events.After(w.scenario.ZoneRTT.Duration()/2, func() { other.chooser.HearLoads(w.view, loads, w.time()) })
+	}
+	w.events.After(loadsInterval, e.shareLoads)
+}
+
 // share tells the other entries of the zone about slow targets.
 func (e *entry) share() {
 	w := e.world
@@ -101,6 +122,7 @@
 	chosen, err := a.entry.chooser.Choose(w.members(a.kind.Service), pick.Query{
 		Service: place.Service(a.kind.Service), Object: w.affinityObject(a.object), Aim: a.kind.Aim.Duration(), TimeLeft: a.deadline.Sub(now),
 		Allowed: func(place.Region) bool { return true }, Tried: a.tried, ColdShare: func(*fleet.Member) int64 { return 0 },
+		Policy: w.placement,
 	}, now)
 	if err != nil {
 		a.done(attemptResult{notRun: true, retryAfter: errs.AsRefusal(err).RetryAfter()})
--- a/replay/file.go
+++ b/replay/file.go
@@ -39,8 +39,17 @@
 	Services     []Service     `json:"services"`
 	Kinds        []RequestKind `json:"kinds"`
 	Disturbances []Disturbance `json:"patterns"`
+	// Policy is the policy by which entries choose targets, "single" or "replicated";
+	// empty means single.
+	Policy string `json:"policy"`
 }
 
+// The values of Scenario.Policy.
+const (
+	PolicySingle     = "single"
+	PolicyReplicated = "replicated"
+)
+
 // Service is a set of identical targets.
 type Service struct {
 	Name string `json:"name"`
@@ -51,6 +60,57 @@
 	Queue          int `json:"queue"`
 	// CacheSize is the number of objects that a target caches.
 	CacheSize int `json:"keeps"`
+	// TargetsIn overrides TargetsPerZone in the zones of some regions.
+	TargetsIn map[string]int `json:"targets_in"`
+	// SlotSizes, if not empty, are the slots of the targets of each zone in turn, in
+	// place of Slots.
+	SlotSizes []int  `json:"slot_sizes"`
+	Noise     *Noise `json:"noise"`
+}
+
+// Noise is the load of others on the machines of a service's targets. In each
+// interval, work takes Factor times as long on a share of the targets, which is drawn
+// anew each time. The targets report it.
+type Noise struct {
+	Share    float64      `json:"share"`
+	Factor   float64      `json:"x"`
+	Interval Milliseconds `json:"interval_ms"`
+}
+
+// targetsIn returns the number of targets in each zone of a region.
+func (s *Service) targetsIn(region string) int {
+	if n, found := s.TargetsIn[region]; found {
+		return n
+	}
+	return s.TargetsPerZone
+}
+
+// slotsOf returns the slots of the target with the number in its zone.
+func (s *Service) slotsOf(number int) int {
+	if len(s.SlotSizes) > 0 {
+		return s.SlotSizes[number%len(s.SlotSizes)]
+	}
+	return s.Slots
+}
+
+func (s *Service) check() error {
+	if s.Name == "" || s.TargetsPerZone < 1 || s.Slots < 1 || s.Queue < 0 || s.CacheSize < 0 {
+		return errors.Newf("service %q: want a name, targets_each and slots of 1 or more, queue and keeps of 0 or more", s.Name)
+	}
+	for region, n := range s.TargetsIn {
+		if n < 0 {
+			return errors.Newf("service %q: targets_in: invalid value %d of region %s; want 0 or more", s.Name, n, region)
+		}
+	}
+	for _, slots := range s.SlotSizes {
+		if slots < 1 {
+			return errors.Newf("service %q: slot_sizes: invalid value %d; want 1 or more", s.Name, slots)
+		}
+	}
+	if n := s.Noise; n != nil && (n.Share < 0 || n.Share > 1 || n.Factor <= 0 || n.Interval <= 0) {
+		return errors.Newf("service %q: noise: want a share from 0 to 1, x and interval_ms of more than 0", s.Name)
+	}
+	return nil
 }
 
 // RequestKind describes requests of one kind to one service. PerSecond is their
@@ -69,10 +129,15 @@
 	// region request. Aim is the latency that the caller wants, Timeout the
 	// most time that an entry spends on a request, and Deadline how long the
 	// caller waits in all, with all its resends.
-	Objects  int          `json:"objects"`
-	Aim      Milliseconds `json:"aim_ms"`
-	Timeout  Milliseconds `json:"timeout_ms"`
-	Deadline Milliseconds `json:"deadline_ms"`
+	Objects int `json:"objects"`
+	// Skew is the exponent of the Zipf distribution of the requests over the objects; 0
+	// means that all are as popular. With SharedObjects the callers of all regions
+	// request the same objects.
+	Skew          float64      `json:"skew"`
+	SharedObjects bool         `json:"shared_objects"`
+	Aim           Milliseconds `json:"aim_ms"`
+	Timeout       Milliseconds `json:"timeout_ms"`
+	Deadline      Milliseconds `json:"deadline_ms"`
 	// AtMostOnce marks requests that may run at most once.
 	AtMostOnce bool `json:"once"`
 	// Attempts is the most targets that an entry sends one request to. Resends
@@ -146,10 +211,13 @@
 	case len(l.Regions) == 0 || l.ZonesPerRegion < 1 || l.EntriesPerZone < 1:
 		return errors.New("regions, zones_each, entries_each: want at least one of each")
 	}
+	if !slices.Contains([]string{"", PolicySingle, PolicyReplicated}, l.Policy) {
+		return errors.Newf("policy: unknown policy %q; want %s or %s", l.Policy, PolicySingle, PolicyReplicated)
+	}
 	var names []string
 	for _, s := range l.Services {
-		if s.Name == "" || s.TargetsPerZone < 1 || s.Slots < 1 || s.Queue < 0 || s.CacheSize < 0 {
-			return errors.Newf("service %q: want a name, targets_each and slots of 1 or more, queue and keeps of 0 or more", s.Name)
+		if err := s.check(); err != nil {
+			return err
 		}
 		names = append(names, s.Name)
 	}
@@ -174,6 +242,8 @@
 		return errors.Newf("kind %q: per_second, work_ms, timeout_ms, deadline_ms: want more than 0", k.Name)
 	case k.Objects < 1 || k.Attempts < 1:
 		return errors.Newf("kind %q: objects, attempts: want 1 or more", k.Name)
+	case k.Skew < 0:
+		return errors.Newf("kind %q: skew: invalid value %v; want 0 or more", k.Name, k.Skew)
 	}
 	return nil
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/replay"
 )
 
@@ -128,6 +129,39 @@
 	}
 }
 
+// TestReplicated compares the policies Replicated and Single. Where objects are
+// popular, machines are shared or a region has few targets, Replicated must be worth
+// more and, once caches have filled, load no target as much; elsewhere it must be worth as much. It guards against
+// hot spots, and against misses that take the slots of hits.
+func TestReplicated(t *testing.T) {
+	const runs, tolerance = 4, 0.01
+	for name, better := range map[string]bool{
+		"hot-object": true, "skewed": true, "noisy": true, "uneven-regions": true, "steady": false, "overload-1.2": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			load := read(t, name)
+			mean := func(policy pick.Policy) (worth, highest float64) {
+				for seed := range uint64(runs) {
+					result := replay.Run(load, replay.Policy{Placement: policy}, seed+1)
+					worth += result.All().Worth() / runs
+					highest += result.HighestLoad(disturbanceFrom, afterTo) / runs
+				}
+				return worth, highest
+			}
+			single, singleHighest := mean(pick.Single{})
+			replicated, highest := mean(pick.Replicated{})
+			t.Logf("worth and highest load: replicated %.3f and %.2f, single %.3f and %.2f", replicated, highest, single, singleHighest)
+			switch {
+			case better && (replicated <= single || highest >= singleHighest):
+				t.Errorf("replicated has worth %.3f and highest load %.2f, single %.3f and %.2f", replicated, highest, single, singleHighest)
+			case replicated < single-tolerance:
+				t.Errorf("replicated has worth %.3f, single %.3f", replicated, single)
+			}
+		})
+	}
+}
+
 func TestParseRefuses(t *testing.T) {
 	tests := map[string]struct{ text, want string }{
 		"no JSON":         {`{`, "replay file"},
@@ -136,6 +170,8 @@
 		"no zones":        {`{"length_ms":1}`, "zones_each"},
 		"no slots":        {`{"length_ms":1,"regions":["a"],"zones_each":1,"entries_each":1,"services":[{"name":"s","targets_each":1}]}`, "slots"},
 		"unknown service": {`{"length_ms":1,"regions":["a"],"zones_each":1,"entries_each":1,"kinds":[{"name":"k","service":"s"}]}`, `"s"`},
+		"unknown policy":  {`{"length_ms":1,"regions":["a"],"zones_each":1,"entries_each":1,"policy":"all"}`, "policy"},
+		"bad noise":       {`{"length_ms":1,"regions":["a"],"zones_each":1,"entries_each":1,"services":[{"name":"s","targets_each":1,"slots":1,"noise":{"share":2}}]}`, "noise"},
 		"unknown pattern": {`{"length_ms":1,"regions":["a"],"zones_each":1,"entries_each":1,"patterns":[{"kind":"flood"}]}`, "flood"},
 	}
 	for name, test := range tests {
--- a/replay/result.go
+++ b/replay/result.go
@@ -50,6 +50,8 @@
 	kinds    map[string]*Tally
 	zones    map[string]*Tally
 	seconds  []Tally
+	// loads holds each target's mean load per slot in each second.
+	loads [][]float64
 }
 
 func newResult(scenario *Scenario) *Result {
@@ -62,6 +64,20 @@
 // All returns the tally of all requests.
 func (r *Result) All() Tally { return r.all }
 
+// HighestLoad returns the highest of the targets' mean numbers of requests, running
+// or waiting, per slot from second from up to, but not including, second to.
+func (r *Result) HighestLoad(from, to int) float64 {
+	highest := 0.0
+	for _, loads := range r.loads {
+		sum := 0.0
+		for _, load := range loads[from:to] {
+			sum += load
+		}
+		highest = max(highest, sum/float64(to-from))
+	}
+	return highest
+}
+
 // Between returns the worth of the requests that callers first sent from second
 // from up to, but not including, second to.
 func (r *Result) Between(from, to int) float64 {
@@ -110,7 +126,11 @@
 		}
 	}
 	row("all", r.all)
-	return errors.Wrap(table.Flush(), "write the table")
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "write the table")
+	}
+	_, err := fmt.Fprintf(w, "highest mean load per slot of a target: %.2f\n", r.HighestLoad(0, len(r.seconds)))
+	return errors.Wrap(err, "write the table")
 }
 
 // Dimensions of the plot in pixels.
--- a/replay/run.go
+++ b/replay/run.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/endivechute/endivechute/event"
 	"github.com/endivechute/endivechute/fleet"
+	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
 )
 
@@ -16,6 +19,21 @@
 	BlindToObjects bool
 	// Silent makes entries tell each other nothing about slow targets.
 	Silent bool
+	// Placement, if set, overrides the scenario's policy.
+	Placement pick.Policy
+	// KeepReports makes entries share no load reports of targets.
+	KeepReports bool
+}
+
+// placement returns the policy by which entries choose targets.
+func (p Policy) placement(scenario *Scenario) pick.Policy {
+	switch {
+	case p.Placement != nil:
+		return p.Placement
+	case scenario.Policy == PolicyReplicated:
+		return pick.Replicated{}
+	}
+	return pick.Single{}
 }
 
 // callerRTT is the round-trip time between a caller and an entry.
@@ -35,14 +53,19 @@
 	targets  map[place.Target]*target
 	entries  []*entry
 	zones    []string
-	result   *Result
+	// popularity holds the objects' shares of the requests by kind, summed up from the
+	// first; it has no entry for kinds whose objects are all as popular.
+	popularity map[string][]float64
+	seed       uint64
+	placement  pick.Policy
+	result     *Result
 }
 
 // Run simulates a scenario under a policy. The seed determines the random draws
 // except the times after which callers send a request again, so that two runs
 // with one seed differ slightly.
 func Run(scenario *Scenario, policy Policy, seed uint64) *Result {
-	w := &world{scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(seed, seed)), targets: map[place.Target]*target{}}
+	w := &world{scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(seed, seed)), targets: map[place.Target]*target{}, popularity: map[string][]float64{}, seed: seed, placement: policy.placement(scenario)}
 	w.result = newResult(scenario)
 	w.build()
 	for i := range scenario.Disturbances {
@@ -58,6 +81,10 @@
 		deadlineMax = max(deadlineMax, k.Deadline.Duration())
 	}
 	w.events.Run(scenario.Duration.Duration() + deadlineMax)
+	for _, t := range w.targets {
+		t.account()
+		w.result.loads = append(w.result.loads, t.loads)
+	}
 	return w.result
 }
 
@@ -74,10 +101,10 @@
 	for i := range w.scenario.Services {
 		s := &w.scenario.Services[i]
 		for _, zone := range w.zones {
-			for n := range s.TargetsPerZone {
+			for n := range s.targetsIn(string(place.Zone(zone).Region())) {
 				name := place.Target(fmt.Sprintf("%s-%s-%d", s.Name, zone, n+1))
-				registry.Put(fleet.Report{Target: name, Service: place.Service(s.Name), Zone: place.Zone(zone), Address: "10.0.0.1:1", Slots: s.Slots, Born: 1}, w.time())
-				w.targets[name] = &target{world: w, service: s, zone: zone}
+				registry.Put(fleet.Report{Target: name, Service: place.Service(s.Name), Zone: place.Zone(zone), Address: "10.0.0.1:1", Slots: s.slotsOf(n), Born: 1}, w.time())
+				w.targets[name] = &target{world: w, service: s, zone: zone, slots: s.slotsOf(n), name: name, loads: make([]float64, len(w.result.seconds))}
 			}
 		}
 	}
@@ -149,14 +176,34 @@
 			copies += int(p.Factor)
 		}
 	}
-	region := string(place.Zone(zone).Region())
-	object := fmt.Sprintf("%s-%s-%d", k.Name, region, w.random.IntN(k.Objects))
+	object := w.drawObject(k, string(place.Zone(zone).Region()))
 	for range copies {
 		r := &request{world: w, kind: k, zone: zone, entryZone: entryZone, object: object, firstSent: w.events.Now(), resendsLeft: k.Resends}
 		r.send()
 	}
 }
 
+// drawObject draws the object of a request from a region.
+func (w *world) drawObject(k *RequestKind, region string) string {
+	if k.SharedObjects {
+		region = "all"
+	}
+	if k.Skew == 0 {
+		return fmt.Sprintf("%s-%s-%d", k.Name, region, w.random.IntN(k.Objects))
+	}
+	sums := w.popularity[k.Name]
+	if sums == nil {
+		sum := 0.0
+		for i := range k.Objects {
+			sum += math.Pow(float64(i+1), -k.Skew)
+			sums = append(sums, sum)
+		}
+		w.popularity[k.Name] = sums
+	}
+	number, _ := slices.BinarySearch(sums, w.random.Float64()*sums[len(sums)-1])
+	return fmt.Sprintf("%s-%s-%d", k.Name, region, number)
+}
+
 // request is one request of a caller, including the times it is sent again.
 type request struct {
 	world       *world
