--- a/front/dump.go
+++ b/front/dump.go
@@ -42,6 +42,8 @@
 	OutOfReach []place.Service    `json:"out_of_reach"`
 	Targets    []pick.TargetState `json:"targets"`
 	Quotas     []quota.State      `json:"quotas"`
+	// Replicated lists the services whose objects are kept on several targets.
+	Replicated []place.Service `json:"replicated_services"`
 }
 
 // Dump returns the current state of the process.
@@ -52,7 +54,7 @@
 		StoreEra: s.feed.Era(), LeavingTargets: s.feed.Leaving(), LimitedTargets: s.rateLimiter.Size(), Source: s.feed.Source(), KnowledgeAge: s.feed.Age().Round(time.Millisecond).String(),
 		EvacuatedZones: view.Evacuated(), LiveInstances: s.instances.Live(), Registered: s.instances.Size(),
 		HeldBytes: s.held.Used(), HeldBytesMax: s.held.Limit(),
-		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now),
+		Quarantined: s.guard.States(now), OutOfReach: s.outOfReach(), Targets: s.chooser.States(view, now), Replicated: s.replicatedServices(now),
 		Quotas: s.limiter.States(now),
 	}
 	if s.underPressure() {
--- a/front/stats.go
+++ b/front/stats.go
@@ -11,6 +11,7 @@
 	registry        *prometheus.Registry
 	requests        *prometheus.CounterVec
 	sends           *prometheus.CounterVec
+	replicaSends    *prometheus.CounterVec
 	latency         *prometheus.HistogramVec
 	storeCalls      *prometheus.CounterVec
 	storeCallTime   prometheus.Histogram
@@ -95,7 +96,7 @@
 }
 
 // addCompetition adds the metrics of what callers compete for: tenants, look-ups by
-// capacity and priorities.
+// capacity, priorities and replicas.
 func (s *stats) addCompetition() {
 	s.tenantRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_tenant_requests_total", Help: "Requests of clients with a key, by tenant and what was answered.",
@@ -106,7 +107,10 @@
 	s.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "endivechute_refusals_by_priority_total", Help: "Requests that were refused before they ran, by priority and reason.",
 	}, []string{fieldPriority, fieldReason})
-	s.registry.MustRegister(s.tenantRequests, s.weightedLookups, s.refusals)
+	s.replicaSends = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "endivechute_replica_sends_total", Help: "Requests handed to targets under the policy replicated, by the position of the target among the object's replicas.",
+	}, []string{fieldReplica})
+	s.registry.MustRegister(s.tenantRequests, s.weightedLookups, s.refusals, s.replicaSends)
 }
 
 // recordStoreCall counts a call to the store and its time.
