Keep objects on single targets where slots are short

Each region fills copies of its own, and the misses take slots that are short under the contract pressure. That the caches are too small was ruled out: by the deployment they have room for some twelve copies of each object.

Change: replicas are used where targets report a work factor and the contract isn't in force. Under the contract the garbage collector keeps a smaller heap.

--- a/cmd/endivechute/front.go
+++ b/cmd/endivechute/front.go
@@ -24,6 +24,11 @@
 // limit of the Go runtime, near which it collects garbage as often as it needs to.
 const memoryLimitShare = 0.7
 
+// gcPercentPressure is the garbage collector's target under the contract pressure, where
+// an instance's memory is short and its processor isn't: the live heap is a few MB, so
+// that collecting it more often costs little.
+const gcPercentPressure = 40
+
 // settingsCheckInterval is how often the settings file is checked for a change
 // without a signal. It is half the time within which the platform wants a new
 // configuration in force, 2 s.
@@ -55,6 +60,9 @@
 		if settings.MemoryBytes() > 0 {
 			debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes())))
 		}
+		if settings.HasContract(platform.ContractPressure) {
+			debug.SetGCPercent(gcPercentPressure)
+		}
 		server := front.New(settings, *metrics, sender.DialTCP, time.Now, logger)
 		changes.apply = server.Reload
 		stop := runReloads(ctx, changes)
--- a/front/loads.go
+++ b/front/loads.go
@@ -13,7 +13,6 @@
 
 	"github.com/endivechute/endivechute/pick"
 	"github.com/endivechute/endivechute/place"
-	"github.com/endivechute/endivechute/platform"
 	"github.com/endivechute/endivechute/wait"
 	"github.com/endivechute/endivechute/wire"
 )
@@ -35,9 +34,11 @@
 	loadsPauseMax = 5 * time.Minute
 )
 
-// policy returns the policy by which the targets of a service are chosen.
+// policy returns the policy by which the targets of a service are chosen. Under the
+// contract pressure slots are short, and not the room in caches: each further replica
+// then costs slots that its misses take from other requests.
 func (s *Server) policy(service place.Service, now time.Time) pick.Policy {
-	if s.settings().HasContract(platform.ContractPressure) || s.chooser.ReportsWorkFactor(service, now) {
+	if !s.underPressure() && s.chooser.ReportsWorkFactor(service, now) {
 		return pick.Replicated{}
 	}
 	return pick.Single{}
@@ -108,9 +109,6 @@
 func (s *Server) loads(now time.Time) *wire.Loads {
 	message := &wire.Loads{}
 	wanted := func(service place.Service) bool { return s.policy(service, now) == pick.Replicated{} }
-	if s.settings().HasContract(platform.ContractPressure) {
-		wanted = func(place.Service) bool { return true }
-	}
 	for _, r := range s.chooser.Loads(loadsMax, wanted, now) {
 		message.Reports = append(message.Reports, wire.TargetLoad{
 			Target: r.Target, Born: r.Born, Running: r.Running, Waiting: r.Waiting,
--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -48,6 +48,14 @@
 				f.limiters[i] = quota.NewLimiter(bounds, f.random.Float64, f.now)
 			}
 		}, func(*testFleet) {}},
+		"all restarted": {anywhere, func(f *testFleet) {
+			for z := range f.collectors {
+				restartCollector(f, z)
+			}
+			for i := range f.limiters {
+				f.limiters[i] = quota.NewLimiter(bounds, f.random.Float64, f.now)
+			}
+		}, func(*testFleet) {}},
 	}
 	for name, test := range tests {
 		for at, first := range map[string]time.Duration{"before the surge": steady, "with the surge": 0, "within the surge": -time.Second} {
