--- a/front/quota_test.go
+++ b/front/quota_test.go
@@ -84,7 +84,7 @@
 	port := min(listener.Addr().(*net.TCPAddr).Port, 60000)
 	_ = listener.Close()
 	lines := fakes.NodeSettings{Name: name, Zone: zone, Region: zone[:1], Host: host, Store: store.Address(), Port: port}.Lines()
-	settings, err := platform.ReadSettings(strings.NewReader(lines + "contract_params.quota_slack=200\n"))
+	settings, err := platform.ReadSettings(strings.NewReader(lines + fakes.QuotaSlack(200)))
 	if err != nil {
 		t.Fatal(err)
 	}
