Let each instance use only its part of a large quota's room

The reserve hardly matters: in the half second until the others' counts arrive, a tenant that rises to six times its rate uses the room several times over.

Change: an instance has a token bucket of its own that refills with its part of the room, by demand, once per 0.6 s, and holds five requests at least. A quota that is below five requests for each instance has none. 0.97 of the quota is used again.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -23,6 +23,12 @@
 	demandMemory    = 300 * time.Millisecond
 	demandMemoryMax = time.Second
 	demandRequests  = 6
+	// replyLag is how old the others' counts in a reply may be. The bucket of an
+	// instance holds at most an allowanceParts-th of its part of the room, but
+	// allowanceMin requests, so that those that come together by chance are admitted.
+	replyLag       = 600 * time.Millisecond
+	allowanceParts = 3
+	allowanceMin   = 5
 	// ownSpan is the time over which the instance's own requests are counted, in
 	// ownBins bins. Fewer than significant requests say nothing about the demand.
 	ownSpan     = 300 * time.Millisecond
@@ -71,6 +77,10 @@
 	// pending holds what no report contains yet, sent what is in the latest report.
 	pending, sent Counts
 	fleet         Counts
+	// allowance holds the tokens at allowedAt of the bucket by which the instance uses its
+	// part of the room.
+	allowance float64
+	allowedAt time.Time
 	// replied holds the room as of the last reply, and since how many requests were
 	// admitted here since then.
 	replied float64
@@ -136,7 +146,7 @@
 	span := time.Duration(l.bounds.Window * float64(time.Second))
 	b, found := l.buckets[name]
 	if !found {
-		b = &bucket{quota: q, span: span, refilled: now, share: 1 / float64(max(l.instances, 1))}
+		b = &bucket{quota: q, span: span, refilled: now, share: 1 / float64(max(l.instances, 1)), allowance: allowanceMin, allowedAt: now}
 		b.setRoom(min(l.bounds.Slack*startSlack, q.burst)-startDebt*q.perSecond, now.Sub(l.started))
 		b.replied = b.room()
 		l.buckets[name] = b
@@ -221,7 +231,7 @@
 		perSecond = b.quota.perSecond * b.share
 		available = b.tokens + perSecond*horizon.Seconds()
 	}
-	if available > 0 && (available >= expected || l.random()*expected < available) {
+	if available > 0 && (available >= expected || l.random()*expected < available) && (l.cutOff || l.known.ID == 0 || b.takeAllowance(l.instances, now)) {
 		b.count(1)
 		b.since++
 		b.pending.admitted++
@@ -235,6 +245,32 @@
 	return time.Duration((0.5 + l.random()) * float64(max(wait, retryAfterMin))), false //nolint:mnd // half to one and a half times
 }
 
+// takeAllowance counts a request against the instance's own token bucket and reports
+// whether there was a token. The bucket lets all instances together use the room once
+// until they hear of each other: each has its part by demand. Without it they use a
+// small room many times over when a tenant's demand rises everywhere at once. A low
+// quota has no such bucket: what it may hold at all instances would exceed the quota.
+func (b *bucket) takeAllowance(instances int, now time.Time) bool {
+	if b.capacity() <= float64(allowanceMin*instances) {
+		return true
+	}
+	part := 1 / float64(max(instances, 1))
+	if b.fleetDemand > 0 {
+		part = max(part, min(float64(b.ownDemand/b.fleetDemand), 1))
+	}
+	room := part * max(b.room()+b.used.leaving(replyLag), 0)
+	if passed := now.Sub(b.allowedAt); passed > 0 {
+		b.allowance += room * min(passed.Seconds()/replyLag.Seconds(), 1)
+		b.allowedAt = now
+	}
+	b.allowance = min(b.allowance, max(room/allowanceParts, allowanceMin))
+	if b.allowance < 1 {
+		return false
+	}
+	b.allowance--
+	return true
+}
+
 // count takes in requests that were admitted here.
 func (b *bucket) count(requests int64) {
 	b.tokens -= float64(requests)
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -62,9 +62,8 @@
 const (
 	// usedQuota and usedSlack are the parts of the quota and of the slack that the fleet
 	// uses. The rest, and the overage, are a reserve for what the instances don't know
-	// yet: a tenant with a third of the fleet's demand that rose to six times its rate
-	// exceeded 1.01 of the quota by 15 %, and 1.05 of it by 5 %.
-	usedQuota = 0.92
+	// yet.
+	usedQuota = 0.97
 	usedSlack = 0.25
 )
 
