Reword comments that a newcomer would stumble over

Cause: comments spoke of tokens and of 1 s, which the quotas no longer have, and of today's customers. Change: comments only. Result: builds; the tests of check and of the command line pass.

--- a/check/compare.go
+++ b/check/compare.go
@@ -67,7 +67,7 @@
 	case 0:
 		services = append(services, r.Service)
 	case 1:
-		// The weight of the only service means nothing.
+		// A single service gets all requests, whatever its weight.
 		services[0], _, _ = strings.Cut(services[0], " ")
 	}
 	return values{
--- a/cmd/endivechute/check.go
+++ b/cmd/endivechute/check.go
@@ -15,7 +15,8 @@
 	"github.com/endivechute/endivechute/setup"
 )
 
-// deadlineDefault is the longest time that the clients of today's customers wait.
+// deadlineDefault is the default of --longest-deadline: how long clients wait for an
+// answer at most.
 const deadlineDefault = 5 * time.Second
 
 // errFindings is the error of a check that found errors.
--- a/quota/failure_test.go
+++ b/quota/failure_test.go
@@ -114,7 +114,7 @@
 }
 
 // TestLimiterAlone checks the decisions of an instance that has had no reply: it starts
-// with few tokens, is limited to its share after 1 s, gets tokens for returned
+// with little room, is limited to its share after 0.6 s, gets room for returned
 // requests, and gains nothing from a clock that goes back.
 func TestLimiterAlone(t *testing.T) {
 	const perSecond, instances = 100, 10
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -62,7 +62,7 @@
 	cutOff    bool
 }
 
-// bucket is what the fleet has used of a tenant's quota, as this instance computes it.
+// bucket holds the fleet's usage of a tenant's quota, as this instance computes it.
 type bucket struct {
 	quota Quota
 	// span is the length of the window that the quota holds for, and used holds the
