Reject answers whose status line is not HTTP's

What callers saw: a target in trouble sent the status 000, and the client got a 200 with the target's stamp and body. Cause: fasthttp takes any three digits for a status and says 200 for 000. A status below 200 was skipped like an interim answer, one above 599 passed on. The parsed answer doesn't show what was sent. The stamp and the echoed ID were ruled out: the answer had both. What is malformed is a broken answer, which may have run.

--- a/sender/answer.go
+++ b/sender/answer.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/endivechute/endivechute/strict"
 )
 
 // interimAnswersMax is the number of 1xx answers after which the client gives up
@@ -75,16 +77,38 @@
 		if _, err := reader.Peek(1); err != nil {
 			return errors.Wrap(err, "wait for the answer")
 		}
+		if err := checkHead(reader); err != nil {
+			return errors.Mark(errors.Wrap(err, "read the answer's headers"), errIncompleteAnswer)
+		}
 		if err := response.Header.Read(reader); err != nil {
 			return errors.Mark(errors.Wrap(err, "read the answer's headers"), errIncompleteAnswer)
 		}
-		if response.StatusCode() >= fasthttp.StatusOK {
+		switch status := response.StatusCode(); {
+		case status >= fasthttp.StatusOK:
 			return nil
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errors.Wrap(errIncompleteAnswer, "the target switched to another protocol, which was not requested")
 		}
 	}
 	return errors.Wrapf(errIncompleteAnswer, "received %d interim answers (1xx) and no final one", interimAnswersMax)
 }
 
+// checkHead waits for the head of an answer and checks it. It consumes nothing.
+func checkHead(reader *bufio.Reader) error {
+	searched := 0
+	for {
+		_, err := reader.Peek(searched + 1)
+		data, _ := reader.Peek(reader.Buffered())
+		if n := strict.EndOfHead(data, searched); n >= 0 {
+			return strict.CheckHead(data[:n]) //nolint:wrapcheck // the caller wraps it
+		}
+		if err != nil {
+			return errors.Wrapf(err, "received %d bytes of a head", len(data))
+		}
+		searched = len(data)
+	}
+}
+
 // hasBody reports whether HTTP allows a body in an answer with the status to a
 // request with the method.
 func hasBody(method string, status int) bool {
--- /dev/null
+++ b/sender/broken_test.go
@@ -0,0 +1,75 @@
+package sender_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+	"github.com/endivechute/endivechute/sender"
+)
+
+// TestInvalidStatusIsNoAnswer guards against an answer whose status line is invalid and
+// that is taken for a success, or skipped like an interim answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		statusLine string
+		// want is the status of the answer, 0 if it must be rejected.
+		want int
+	}{
+		"000":                        {statusLine: "HTTP/1.1 000 Trouble"},
+		"000, no reason":             {statusLine: "HTTP/1.1 000"},
+		"000 in front of an answer":  {statusLine: "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK"},
+		"099 in front of an answer":  {statusLine: "HTTP/1.1 099 Trouble\r\n\r\nHTTP/1.1 200 OK"},
+		"101, not asked for":         {statusLine: "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK"},
+		"600":                        {statusLine: "HTTP/1.1 600 Trouble"},
+		"999":                        {statusLine: "HTTP/1.1 999 Trouble"},
+		"a sign":                     {statusLine: "HTTP/1.1 +20 OK"},
+		"two digits":                 {statusLine: "HTTP/1.1 20 OK"},
+		"four digits":                {statusLine: "HTTP/1.1 2000 OK"},
+		"two spaces":                 {statusLine: "HTTP/1.1  200 OK"},
+		"another version":            {statusLine: "HTTP/2.0 200 OK"},
+		"another protocol":           {statusLine: "ICY 200 OK"},
+		"an empty line in front":     {statusLine: "\r\nHTTP/1.1 200 OK"},
+		"a control byte":             {statusLine: "HTTP/1.1 200 O\x00K"},
+		"a bare carriage return":     {statusLine: "HTTP/1.1 200 O\rK"},
+		"a bare line feed":           {statusLine: "HTTP/1.1 200 OK\nX-A: b"},
+		"200":                        {statusLine: "HTTP/1.1 200 OK", want: 200},
+		"no reason":                  {statusLine: "HTTP/1.1 200", want: 200},
+		"an empty reason":            {statusLine: "HTTP/1.1 200 ", want: 200},
+		"a reason beyond ASCII":      {statusLine: "HTTP/1.1 404 Intr\xc3\xa9pide", want: 404},
+		"599":                        {statusLine: "HTTP/1.1 599 Trouble", want: 599},
+		"HTTP/1.0":                   {statusLine: "HTTP/1.0 200 OK", want: 200},
+		"an interim answer in front": {statusLine: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK", want: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for kind, request := range requestKinds() {
+				answer, err := exchangeWith(t, request, c.statusLine+"\r\n"+sender.HeaderRequestID+": r1\r\nContent-Length: 3\r\n\r\nown")
+				checkRejected(t, kind, answer, err, c.want, "own")
+			}
+		})
+	}
+}
+
+// requestKinds returns a request with the ID r1 for each way to match its answer.
+func requestKinds() map[string]sender.Request {
+	header := sender.NewHeader(sender.HeaderRequestID, "r1")
+	plain := sender.NewRequest("POST", "/x", time.Now().Add(time.Minute)).WithHeadersAndBody([]sender.Header{header}, []byte("body")).WithCloseDelimited()
+	return map[string]sender.Request{"echo": plain.WithEcho(header), "optional echo": plain.WithOptionalEcho(header), "no echo": plain}
+}
+
+// checkRejected checks that an answer has the status and the body, or with the status 0
+// that it was rejected and the request counts as one that may have run.
+func checkRejected(t *testing.T, kind string, answer sender.Answer, err error, status int, body string) {
+	t.Helper()
+	switch {
+	case status != 0:
+		if err != nil || answer.Status() != status || string(answer.Body()) != body {
+			t.Errorf("%s: status %d with body %q, error %v; want %d with %q", kind, answer.Status(), answer.Body(), err, status, body)
+		}
+	case err == nil:
+		t.Errorf("%s: status %d with body %q and headers %q; want an error", kind, answer.Status(), answer.Body(), answer.Headers())
+	case errs.VerdictOf(err) != errs.VerdictMayHaveRun || errs.AsRefusal(err).Reason() != errs.ReasonCutAnswer:
+		t.Errorf("%s: error %v; want one that says that the answer is broken and the request may have run", kind, err)
+	}
+}
