Refuse answers whose connection broke while the request was written

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part and reset the connection; the part came as a whole answer. Cause: Linux reports a connection's error once. If the write of the request gets the ECONNRESET, reading the answer sees a regular end of the connection, which ends an answer without a length. A reset after the request was written whole was refused before, so that the end alone isn't the cause. Change: after an answer that ends with its connection the write is stopped, and any error of it but that stop marks the answer as broken off. This works because the reader can only miss an error that a write has got. It holds for a target that falls silent (ETIMEDOUT) too. Other readers refuse answers without an end of their own.

--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -1,12 +1,17 @@
 package front_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/endivechute/endivechute/platform/fakes"
 )
 
@@ -40,3 +45,69 @@
 		}
 	}
 }
+
+// TestResetDuringUploadIsNoSuccess guards against a part of an answer that a client gets as
+// a whole one. A target answers a long upload at once, without a length, and resets the
+// connection while the upload is still being written.
+func TestResetDuringUploadIsNoSuccess(t *testing.T) {
+	t.Parallel()
+	const uploadBytes, timeout, rounds = 16 * mebibyte, 5000, 10
+	upload := strings.Repeat("x", uploadBytes)
+	w := newTestEnvWith(t, "", strings.Replace(fakes.Config(1, timeout), `"max_body_bytes":1048576`, fmt.Sprintf(`"max_body_bytes":%d`, uploadBytes), 1))
+	for _, id := range []string{"t1", "t2"} {
+		address := answerRaw(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fakes.RequestIDHeader+fakes.RequestID(r.Header)+"\r\n"+fakes.StampHeader+"\r\npart")
+			time.Sleep(5 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		})
+		w.store.Put("servers", id, fakes.SpecAt(address, "svc", "a1", "ready", 0, 2))
+	}
+	eventually(t, 3*time.Second, "the targets have moved", func() bool { return w.do(t, "POST", "/read/x", "moved").body != "whole" })
+	for i := range rounds {
+		for _, path := range []string{"/read/x", "/write/x"} {
+			r, err := fakes.NewRequest(t.Context(), "POST", w.address(), path, fmt.Sprintf("u%d%s", i, path[:2]), "", upload, timeout)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusBadGateway {
+				t.Errorf("%s: status %d with body %q, error %v; want 502", path, response.StatusCode, body, err)
+			}
+		}
+	}
+}
+
+// answerRaw reads the head of the first request of each connection at an address, lets the
+// function answer, and closes the connection.
+func answerRaw(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving conc.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() {
+				defer func() { _ = conn.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn.(*net.TCPConn), r)
+				}
+			})
+		}
+	})
+	return listener.Addr().String()
+}
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -62,6 +62,7 @@
 		}
 		return Answer{}, false, errOtherRequest
 	}
+	answer.endsWithConnection = body.endsWithConnection
 	if err = body.readInto(&answer, r); err != nil {
 		return answer, false, err
 	}
--- a/sender/client.go
+++ b/sender/client.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -276,6 +277,9 @@
 		_ = p.conn.Close()
 		return answer, false, errors.CombineErrors(err, <-written)
 	}
+	if answer.endsWithConnection {
+		return answer, false, p.checkEnd(written)
+	}
 	// A target may answer before it has read the whole body. Then the connection
 	// can't be reused, since the rest of the body would precede the next request.
 	select {
@@ -288,6 +292,19 @@
 	}
 }
 
+// checkEnd ends the writing of the request, whose result written receives, and returns an
+// error if the connection broke. The kernel reports a reset or a silent target only once:
+// if that ended a write, reading sees a regular end of the connection.
+func (p *pooledConn) checkEnd(written <-chan error) error {
+	if err := p.conn.SetWriteDeadline(time.Now()); err != nil {
+		return errors.Mark(errors.Wrap(err, "end the request"), errIncompleteAnswer)
+	}
+	if err := <-written; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Mark(errors.Wrap(err, "the connection broke before the answer's end"), errIncompleteAnswer)
+	}
+	return nil
+}
+
 // updateKeepAliveTimeout stores the idle timeout that the answer states, as in
 // "Keep-Alive: timeout=5".
 func (c *Client) updateKeepAliveTimeout(answer Answer) {
--- a/sender/request.go
+++ b/sender/request.go
@@ -195,6 +195,8 @@
 	body      []byte
 	keepAlive string
 	streamed  bool
+	// endsWithConnection is true if the end of the connection ends the body.
+	endsWithConnection bool
 }
 
 // NewAnswer returns an Answer with the status and no headers or body.
--- /dev/null
+++ b/sender/reset_test.go
@@ -0,0 +1,155 @@
+package sender_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/endivechute/endivechute/errs"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/endivechute/endivechute/sender"
+)
+
+// TestResetDuringUpload guards against a part of an answer that is taken for a whole one.
+// The target answers a long upload at once, without a length, and ends the connection
+// while the upload is still being written. Only a connection that isn't reset ends an
+// answer.
+func TestResetDuringUpload(t *testing.T) {
+	const (
+		rounds = 30
+		pause  = 5 * time.Millisecond
+	)
+	head := "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n\r\n"
+	for name, c := range map[string]struct {
+		// length is that of the request's body, and answered that of the answer's.
+		length, answered int
+		end              func(conn *net.TCPConn)
+		want             int
+	}{
+		"reset":                     {length: 32 << 20, answered: 4, end: reset},
+		"reset, long answer":        {length: 32 << 20, answered: 3 << 20, end: reset},
+		"closed with unread bytes":  {length: 32 << 20, answered: 4, end: func(conn *net.TCPConn) { _ = conn.Close() }},
+		"reset, short upload":       {length: 16 << 10, answered: 4, end: reset},
+		"closed, upload not read":   {length: 32 << 20, answered: 4, end: closeWrite, want: http.StatusOK},
+		"closed, upload read":       {length: 32 << 20, answered: 4, end: closeAndRead, want: http.StatusOK},
+		"closed, read, long answer": {length: 32 << 20, answered: 900 << 10, end: closeAndRead, want: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			answered := bytes.Repeat([]byte("x"), c.answered)
+			address := serveConns(t, func(conn *net.TCPConn) {
+				_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+				_, _ = io.WriteString(conn, head)
+				_, _ = conn.Write(answered)
+				time.Sleep(pause)
+				c.end(conn)
+			})
+			upload := make([]byte, c.length)
+			for range rounds {
+				client := sender.New("t1", address, 1, sender.DialTCP)
+				var streamed bytes.Buffer
+				for kind, request := range requestKinds() {
+					request = request.WithHeadersAndBody(request.Headers(), upload).WithOverflow(nil, func(sender.Answer) (io.Writer, error) { return &streamed, nil })
+					answer, err := client.Do(t.Context(), request)
+					checkRejected(t, kind, answer, err, c.want, string(answered))
+				}
+				client.Close()
+			}
+		})
+	}
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// closeWrite ends the answer and leaves the upload unread for as long as a client takes to
+// notice the end.
+func closeWrite(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	time.Sleep(200 * time.Millisecond)
+	reset(conn)
+}
+
+func closeAndRead(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
+
+// serveConns serves each connection at an address by the function, with no HTTP library in
+// between.
+func serveConns(t *testing.T, serve func(conn *net.TCPConn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving conc.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { serve(conn.(*net.TCPConn)) })
+		}
+	})
+	return listener.Addr().String()
+}
+
+// TestWriteGetsTheError lets the write of a request get the error that ended the
+// connection, so that reading the answer sees a regular end.
+func TestWriteGetsTheError(t *testing.T) {
+	for name, writeErr := range map[string]error{"reset": syscall.ECONNRESET, "silent": syscall.ETIMEDOUT, "reset after a close": syscall.EPIPE} {
+		t.Run(name, func(t *testing.T) {
+			answer := "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n\r\npart"
+			dial := func(context.Context, string, time.Duration) (net.Conn, error) {
+				return &brokenConn{answer: strings.NewReader(answer), writeErr: writeErr}, nil
+			}
+			client := sender.New("t1", "127.0.0.1:1", 1, dial)
+			defer client.Close()
+			for kind, request := range requestKinds() {
+				got, err := client.Do(t.Context(), request.WithHeadersAndBody(request.Headers(), make([]byte, 1<<20)))
+				if err == nil || errs.VerdictOf(err) != errs.VerdictMayHaveRun {
+					t.Errorf("%s: status %d with body %q, error %v; want an error that says that the request may have run", kind, got.Status(), got.Body(), err)
+				}
+			}
+		})
+	}
+}
+
+// brokenConn is a connection that takes the first write, fails the next one, and returns
+// the answer and a regular end to reads.
+type brokenConn struct {
+	net.Conn
+	answer   *strings.Reader
+	writeErr error
+	writes   int
+}
+
+func (c *brokenConn) Write(data []byte) (int, error) {
+	if c.writes++; c.writes > 1 {
+		return 0, c.writeErr
+	}
+	return len(data), nil
+}
+
+func (c *brokenConn) Read(data []byte) (int, error)    { return c.answer.Read(data) }
+func (c *brokenConn) Close() error                     { return nil }
+func (c *brokenConn) SetDeadline(time.Time) error      { return nil }
+func (c *brokenConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *brokenConn) SetWriteDeadline(time.Time) error { return nil }
