Reject answers with field names that are not HTTP's

What callers saw: an answer with "Content-Length : 1" came as a 200 with the first byte of its body, one with "X Bad: v" or "Content Length: 1" as any other. Reported from other systems; it happened here. Cause: fasthttp drops blanks behind a name, keeps those inside it, and joins a line that begins with one to the line before; net/http keeps a name with blanks, so that the field isn't found. What they parsed doesn't show it. Change: package strict checks every line of a head and of a trailer as it was sent, before fasthttp parses it, and strict.Transport the fields of the stores' replies. Lines must end in CR LF and can't be continued, as RFC 9112 allows a gateway to ask. That works because no library reads the bytes before the check.

--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -21,8 +21,13 @@
 	t.Parallel()
 	const head = "HEADContent-Length: 5\r\n"
 	answers := map[string]string{
-		"status 000": "HTTP/1.1 000 Trouble\r\n" + head + "\r\nwhole",
-		"status 999": "HTTP/1.1 999 Trouble\r\n" + head + "\r\nwhole",
+		"status 000":               "HTTP/1.1 000 Trouble\r\n" + head + "\r\nwhole",
+		"status 999":               "HTTP/1.1 999 Trouble\r\n" + head + "\r\nwhole",
+		"blank in the name":        "HTTP/1.1 200 OK\r\n" + head + "X Bad: v\r\n\r\nwhole",
+		"blank in front":           "HTTP/1.1 200 OK\r\n" + head + " X-Bad: v\r\n\r\nwhole",
+		"control byte in the name": "HTTP/1.1 200 OK\r\n" + head + "X-\x01Bad: v\r\n\r\nwhole",
+		"blank behind the length":  "HTTP/1.1 200 OK\r\nHEADContent-Length : 1\r\n\r\nwhole",
+		"blank inside the length":  "HTTP/1.1 200 OK\r\nHEADContent Length: 1\r\n\r\nwhole",
 	}
 	store, targets := newTestPlatform(t, 4)
 	instances := cutFleet(t, store, "a1", "b1")
--- a/sender/answer.go
+++ b/sender/answer.go
@@ -96,15 +96,38 @@
 
 // checkHead waits for the head of an answer and checks it. It consumes nothing.
 func checkHead(reader *bufio.Reader) error {
+	head, err := peekSection(reader, strict.EndOfHead)
+	if err != nil {
+		return err
+	}
+	return strict.CheckHead(head) //nolint:wrapcheck // the caller wraps it
+}
+
+// readTrailer reads and checks the trailer section of a body in chunks.
+func readTrailer(reader *bufio.Reader, response *fasthttp.Response) error {
+	trailer, err := peekSection(reader, strict.EndOfTrailer)
+	if err != nil {
+		return err
+	}
+	if err := strict.CheckTrailer(trailer); err != nil {
+		return errors.Wrap(err, "read the trailer")
+	}
+	return errors.Wrap(response.Header.ReadTrailer(reader), "read the trailer")
+}
+
+// peekSection waits for a section of an answer whose length is returned by endOf, or -1
+// while its end is missing. It consumes nothing, and fails if the section is longer than
+// the reader's buffer.
+func peekSection(reader *bufio.Reader, endOf func(data []byte, from int) int) ([]byte, error) {
 	searched := 0
 	for {
 		_, err := reader.Peek(searched + 1)
 		data, _ := reader.Peek(reader.Buffered())
-		if n := strict.EndOfHead(data, searched); n >= 0 {
-			return strict.CheckHead(data[:n]) //nolint:wrapcheck // the caller wraps it
+		if n := endOf(data, searched); n >= 0 {
+			return data[:n], nil
 		}
 		if err != nil {
-			return errors.Wrapf(err, "received %d bytes of a head", len(data))
+			return nil, errors.Wrapf(err, "received %d bytes without an empty line", len(data))
 		}
 		searched = len(data)
 	}
--- a/sender/body.go
+++ b/sender/body.go
@@ -54,7 +54,7 @@
 	case length == -1:
 		return &answerBody{
 			Reader: httputil.NewChunkedReader(reader), length: -1,
-			trailer: func() error { return response.Header.ReadTrailer(reader) },
+			trailer: func() error { return readTrailer(reader, response) },
 		}, nil
 	case !r.closeDelimited:
 		return nil, errors.Wrap(errIncompleteAnswer, "the answer has neither a Content-Length nor chunked encoding, so a truncated body would go undetected")
--- a/sender/broken_test.go
+++ b/sender/broken_test.go
@@ -1,6 +1,7 @@
 package sender_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -51,6 +52,65 @@
 	}
 }
 
+// TestInvalidFieldIsNoAnswer guards against an answer with a field whose name or value isn't
+// HTTP's, and that is taken with that field passed on, changed or left out, or with a body
+// that the target didn't mean.
+func TestInvalidFieldIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n"
+	for name, c := range map[string]struct {
+		field string
+		valid bool
+	}{
+		"blank in the name":           {field: "X Bad: v"},
+		"blank behind the name":       {field: "X-Bad : v"},
+		"blank in front of the name":  {field: " X-Bad: v"},
+		"tab in the name":             {field: "X\tBad: v"},
+		"tab behind the name":         {field: "X-Bad\t: v"},
+		"NUL in the name":             {field: "X-\x00Bad: v"},
+		"control byte in the name":    {field: "X-\x01Bad: v"},
+		"delete in the name":          {field: "X-Bad\x7f: v"},
+		"carriage return in the name": {field: "X-\rBad: v"},
+		"line feed in the name":       {field: "X-\nBad: v"},
+		"no ASCII in the name":        {field: "X-B\xc3\xa4d: v"},
+		"quote in the name":           {field: "\"X-Bad\": v"},
+		"no name":                     {field: ": v"},
+		"no colon":                    {field: "X-Bad"},
+		"NUL in the value":            {field: "X-Bad: a\x00b"},
+		"control byte in the value":   {field: "X-Bad: a\x1bb"},
+		"carriage return in a value":  {field: "X-Bad: a\rb"},
+		"line feed in the value":      {field: "X-Bad: a\nX-Worse: b"},
+		"length with a blank":         {field: "Content-Length : 1"},
+		"length with a blank inside":  {field: "Content Length: 1"},
+		"chunked with a blank":        {field: "Transfer-Encoding : chunked"},
+		"chunked with a blank inside": {field: "Transfer Encoding: chunked"},
+		"continued line":              {field: "X-Bad: a\r\n b"},
+		"odd name":                    {field: "x!#$%&'*+-.^_`|~9: v", valid: true},
+		"odd value":                   {field: "X-Odd:\ta\xffb \"(,;=\t", valid: true},
+		"empty value":                 {field: "X-Empty:", valid: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bodies := map[string]string{
+				"with a length, first":     c.field + "\r\nContent-Length: 5\r\n\r\nwhole",
+				"with a length, last":      "Content-Length: 5\r\n" + c.field + "\r\n\r\nwhole",
+				"chunked":                  "Transfer-Encoding: chunked\r\n" + c.field + "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+				"ends with the connection": c.field + "\r\n\r\nwhole",
+				"in the trailer":           "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + c.field + "\r\n\r\n",
+			}
+			want := 0
+			if c.valid {
+				want = http.StatusOK
+			}
+			for body, rest := range bodies {
+				for kind, request := range requestKinds() {
+					answer, err := exchangeWith(t, request, head+rest)
+					checkRejected(t, body+", "+kind, answer, err, want, "whole")
+				}
+			}
+		})
+	}
+}
+
 // requestKinds returns a request with the ID r1 for each way to match its answer.
 func requestKinds() map[string]sender.Request {
 	header := sender.NewHeader(sender.HeaderRequestID, "r1")
--- a/store/client.go
+++ b/store/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/parts"
+	"github.com/endivechute/endivechute/strict"
 )
 
 // Limits of the client's requests, replies and connections.
@@ -69,7 +70,7 @@
 		MaxIdleConnsPerHost: connectionsIdleMax,
 		DisableCompression:  true,
 	}
-	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: strict.NewTransport(transport)}}
 }
 
 // Close closes the idle connections.
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/endivechute/endivechute/store"
+	"github.com/endivechute/endivechute/strict"
 )
 
 func serve(t *testing.T, handler http.HandlerFunc) *store.Client {
@@ -150,3 +151,19 @@
 		})
 	}
 }
+
+// TestMalformedReply sends a reply that is valid but for a space in a field name.
+func TestMalformedReply(t *testing.T) {
+	client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 24\r\n\r\n"+`{"path":"a","version":1}`)
+		_ = conn.Close()
+	})
+	if object, err := client.Get(t.Context(), "a"); !errors.Is(err, strict.ErrMalformed) {
+		t.Errorf("the client takes version %d, error %v; want none", object.Version(), err)
+	}
+}
--- a/strict/head.go
+++ b/strict/head.go
@@ -13,8 +13,11 @@
 // ErrMalformed marks an answer that is not valid HTTP.
 var ErrMalformed = errors.New("malformed answer")
 
-// headEnd ends a head: the line break of the last line and an empty line.
-var headEnd = []byte("\r\n\r\n")
+var (
+	lineEnd = []byte("\r\n")
+	// headEnd ends a head: the line break of the last line and an empty line.
+	headEnd = []byte("\r\n\r\n")
+)
 
 // EndOfHead returns the length in bytes of the head with which data begins, its empty line
 // included, or -1 if data doesn't contain its end. The first from bytes are known not to
@@ -27,12 +30,51 @@
 	return -1
 }
 
+// EndOfTrailer is like EndOfHead for the trailer section behind the last chunk of a body,
+// which may be only an empty line.
+func EndOfTrailer(data []byte, from int) int {
+	if bytes.HasPrefix(data, lineEnd) {
+		return len(lineEnd)
+	}
+	return EndOfHead(data, from)
+}
+
 // CheckHead returns an error marked ErrMalformed if the head of an answer, as it was sent
 // and with its empty line, is not valid by RFC 9112. Libraries repair some heads as they
 // parse them, so that their result doesn't show what was wrong.
 func CheckHead(head []byte) error {
-	statusLine, _, _ := bytes.Cut(head, headEnd[:2])
-	return checkStatusLine(statusLine)
+	statusLine, fields, _ := bytes.Cut(head, lineEnd)
+	if err := checkStatusLine(statusLine); err != nil {
+		return err
+	}
+	return CheckTrailer(fields)
+}
+
+// CheckTrailer is like CheckHead for a trailer section.
+func CheckTrailer(fields []byte) error {
+	for {
+		line, rest, _ := bytes.Cut(fields, lineEnd)
+		if len(line) == 0 {
+			return nil
+		}
+		if err := checkField(line); err != nil {
+			return err
+		}
+		fields = rest
+	}
+}
+
+// checkField checks a line like "Name: value" (RFC 9112, section 5). Lines that continue
+// the one before them are obsolete, and a gateway may reject them (section 5.2).
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Wrapf(ErrMalformed, "the line %.*q doesn't begin with a field name and a colon", excerptBytes, line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return errors.Wrapf(ErrMalformed, "the value of the field %.*q has a control character", excerptBytes, name)
+	}
+	return nil
 }
 
 // excerptBytes is how much of an invalid line an error quotes.
