Reject answers whose length is ambiguous

What callers saw: an answer with HTTP/1.0 and chunks came as a 200 whose body had the chunks' lengths in it. Found while looking for more that libraries let through. Cause: fasthttp ignores Transfer-Encoding with HTTP/1.0, and Content-Length beside Transfer-Encoding. RFC 9112 calls the first faulty (6.1) and the second an error (6.3), since nobody knows which of the two the target meant. Invalid and repeated lengths were rejected before; their tests stay. Change: strict.CheckHead rejects both, before a library chooses.

--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -27,6 +27,7 @@
 		"blank in front":           "HTTP/1.1 200 OK\r\n" + head + " X-Bad: v\r\n\r\nwhole",
 		"control byte in the name": "HTTP/1.1 200 OK\r\n" + head + "X-\x01Bad: v\r\n\r\nwhole",
 		"blank behind the length":  "HTTP/1.1 200 OK\r\nHEADContent-Length : 1\r\n\r\nwhole",
+		"chunks with HTTP/1.0":     "HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 		"blank inside the length":  "HTTP/1.1 200 OK\r\nHEADContent Length: 1\r\n\r\nwhole",
 	}
 	store, targets := newTestPlatform(t, 4)
--- a/sender/broken_test.go
+++ b/sender/broken_test.go
@@ -133,3 +133,44 @@
 		t.Errorf("%s: error %v; want one that says that the answer is broken and the request may have run", kind, err)
 	}
 }
+
+// TestAmbiguousLength guards against an answer whose body has another length for the
+// target than for this system.
+func TestAmbiguousLength(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	for name, c := range map[string]struct {
+		version, fields, body string
+		valid                 bool
+	}{
+		"chunks and a length":         {"HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", chunks, false},
+		"a length and chunks":         {"HTTP/1.1", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunks, false},
+		"chunks with HTTP/1.0":        {"HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunks, false},
+		"a length, chunks, HTTP/1.0":  {"HTTP/1.0", "Content-Length: 5\r\ntransfer-encoding: chunked\r\n", "whole", false},
+		"two lengths":                 {"HTTP/1.1", "Content-Length: 5\r\nContent-Length: 4\r\n", "whole", false},
+		"two lengths in one field":    {"HTTP/1.1", "Content-Length: 5, 5\r\n", "whole", false},
+		"a length with a sign":        {"HTTP/1.1", "Content-Length: +5\r\n", "whole", false},
+		"a negative length":           {"HTTP/1.1", "Content-Length: -5\r\n", "whole", false},
+		"an empty length":             {"HTTP/1.1", "Content-Length:\r\n", "whole", false},
+		"a hexadecimal length":        {"HTTP/1.1", "Content-Length: 0x5\r\n", "whole", false},
+		"the longest length":          {"HTTP/1.1", "Content-Length: 9223372036854775807\r\n", "whole", false},
+		"a length beyond 64 bits":     {"HTTP/1.1", "Content-Length: 18446744073709551621\r\n", "whole", false},
+		"chunks twice":                {"HTTP/1.1", "Transfer-Encoding: chunked, chunked\r\n", chunks, false},
+		"chunks in two fields":        {"HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunks, false},
+		"another encoding":            {"HTTP/1.1", "Transfer-Encoding: gzip\r\n", chunks, false},
+		"another encoding and chunks": {"HTTP/1.1", "Transfer-Encoding: gzip, chunked\r\n", chunks, false},
+		"chunks":                      {"HTTP/1.1", "transfer-encoding: Chunked\r\n", chunks, true},
+		"a length with HTTP/1.0":      {"HTTP/1.0", "content-length: 5\r\n", "whole", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			want := 0
+			if c.valid {
+				want = http.StatusOK
+			}
+			for kind, request := range requestKinds() {
+				answer, err := exchangeWith(t, request, c.version+" 200 OK\r\n"+sender.HeaderRequestID+": r1\r\n"+c.fields+"\r\n"+c.body)
+				checkRejected(t, kind, answer, err, want, "whole")
+			}
+		})
+	}
+}
--- a/strict/head.go
+++ b/strict/head.go
@@ -47,34 +47,55 @@
 	if err := checkStatusLine(statusLine); err != nil {
 		return err
 	}
-	return CheckTrailer(fields)
+	hasLength, isChunked := false, false
+	err := checkFields(fields, func(name []byte) {
+		hasLength = hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+		isChunked = isChunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	})
+	if err != nil {
+		return err
+	}
+	// The next two are RFC 9112, section 6.3 and 6.1.
+	if isChunked && hasLength {
+		return errors.Wrap(ErrMalformed, "the head has both Transfer-Encoding and Content-Length")
+	}
+	if isChunked && bytes.HasPrefix(statusLine, []byte("HTTP/1.0")) {
+		return errors.Wrap(ErrMalformed, "the head has a Transfer-Encoding, which HTTP/1.0 doesn't know")
+	}
+	return nil
 }
 
 // CheckTrailer is like CheckHead for a trailer section.
-func CheckTrailer(fields []byte) error {
+func CheckTrailer(fields []byte) error { return checkFields(fields, func([]byte) {}) }
+
+// checkFields checks the lines up to the empty one and calls seen with the name of each.
+func checkFields(fields []byte, seen func(name []byte)) error {
 	for {
 		line, rest, _ := bytes.Cut(fields, lineEnd)
 		if len(line) == 0 {
 			return nil
 		}
-		if err := checkField(line); err != nil {
+		name, err := checkField(line)
+		if err != nil {
 			return err
 		}
+		seen(name)
 		fields = rest
 	}
 }
 
-// checkField checks a line like "Name: value" (RFC 9112, section 5). Lines that continue
-// the one before them are obsolete, and a gateway may reject them (section 5.2).
-func checkField(line []byte) error {
+// checkField checks a line like "Name: value" (RFC 9112, section 5) and returns the name.
+// Lines that continue the one before them are obsolete, and a gateway may reject them
+// (section 5.2).
+func checkField(line []byte) ([]byte, error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return errors.Wrapf(ErrMalformed, "the line %.*q doesn't begin with a field name and a colon", excerptBytes, line)
+		return nil, errors.Wrapf(ErrMalformed, "the line %.*q doesn't begin with a field name and a colon", excerptBytes, line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return errors.Wrapf(ErrMalformed, "the value of the field %.*q has a control character", excerptBytes, name)
+		return nil, errors.Wrapf(ErrMalformed, "the value of the field %.*q has a control character", excerptBytes, name)
 	}
-	return nil
+	return name, nil
 }
 
 // excerptBytes is how much of an invalid line an error quotes.
