Take no room for the longest possible length

No caller has been seen to be hit; found while looking for answers without an end. Change: the length is compared before it is added to. Result: TestLongestLength panicked before and passes; the tests of hold pass.

--- a/hold/hold.go
+++ b/hold/hold.go
@@ -80,9 +80,10 @@
 		// One more byte leaves room to see the end.
 		first = int(length) + 1
 	}
-	if whole := length + 1; length >= int64(free) && whole <= int64(limit) {
-		if share.Take(int(whole) - free) {
-			room, first = int(whole), int(whole)
+	if length >= int64(free) && length < int64(limit) {
+		whole := int(length) + 1
+		if share.Take(whole - free) {
+			room, first = whole, whole
 		} else {
 			limit = free
 		}
--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -134,3 +135,22 @@
 		t.Errorf("%d bytes are used after the release", budget.Used())
 	}
 }
+
+// TestLongestLength guards against a length to which nothing can be added, and for which
+// room was taken all the same.
+func TestLongestLength(t *testing.T) {
+	budget := hold.New(1 << 20)
+	for name, share := range map[string]*hold.Share{"no limit": nil, "limit": budget.Share()} {
+		t.Run(name, func(t *testing.T) {
+			for _, free := range []int{0, 8 << 10} {
+				data, whole, err := hold.ReadAll(strings.NewReader("part"), share, math.MaxInt64, 1<<10, free)
+				if string(data) != "part" || !whole || err != nil {
+					t.Errorf("ReadAll returns %q, whole: %v, error %v; want the part", data, whole, err)
+				}
+			}
+			if used := budget.Used(); used < 0 || used > budget.Limit() {
+				t.Errorf("%d bytes of the budget of %d are used", used, budget.Limit())
+			}
+		})
+	}
+}
