Bound what probes and calls to the store keep of an answer

What callers saw: reported from other systems, a machine runs out of memory under bytes without end, and all of its requests end with it. Cause: a probe kept a body of up to 1 MiB, which no budget counts, although it needs the head alone. net/http takes heads of up to 10 MiB, and no client of a store had set another limit. Evidence: front TestEndlessRepliesToInstance, in four runs before: 218 to 292 MiB for 200 probes at once and 193 to 276 MiB for five calls to the store; the smallest instances have 136 MiB. Requests to targets kept within it before (TestEndlessAnswers), straight and through another instance.

--- a/sender/answer.go
+++ b/sender/answer.go
@@ -63,7 +63,12 @@
 		return Answer{}, false, errOtherRequest
 	}
 	answer.endsWithConnection = body.endsWithConnection
-	if err = body.readInto(&answer, r); err != nil {
+	if r.bodyDiscarded {
+		err = body.skip(r.answerBytesMax)
+	} else {
+		err = body.readInto(&answer, r)
+	}
+	if err != nil {
 		return answer, false, err
 	}
 	reusable = !body.endsWithConnection && !response.ConnectionClose() && reader.Buffered() == 0
--- a/sender/body.go
+++ b/sender/body.go
@@ -86,7 +86,7 @@
 func (b *answerBody) skip(limit int) error {
 	skipped, err := io.Copy(io.Discard, io.LimitReader(b, int64(limit)+1))
 	if err == nil && skipped > int64(limit) {
-		return errors.Wrapf(errIncompleteAnswer, "the body of an answer to another request is longer than %d bytes", limit)
+		return errors.Wrapf(errIncompleteAnswer, "the body, which is discarded, is longer than %d bytes", limit)
 	}
 	return b.finish(err)
 }
--- a/sender/request.go
+++ b/sender/request.go
@@ -50,6 +50,7 @@
 	echo           Header
 	echoOptional   bool
 	closeDelimited bool
+	bodyDiscarded  bool
 	share          *hold.Share
 	overflow       OverflowFunc
 	awaitSilent    bool
@@ -128,6 +129,13 @@
 	return r
 }
 
+// WithBodyDiscarded returns a copy whose answer has no body. The target's is read to its
+// end, within the limit of WithAnswerBytesMax, and nothing of it is kept.
+func (r Request) WithBodyDiscarded() Request {
+	r.bodyDiscarded = true
+	return r
+}
+
 // WithOverflow returns a copy whose answer is buffered only as far as the share
 // has room, and at most 1 MiB of it. The head of a longer answer is passed to
 // overflow, and its body is written to the writer that overflow returns. The
--- a/store/client.go
+++ b/store/client.go
@@ -29,6 +29,8 @@
 	listReplyBytesMax = 256 << 20
 	// rosterReplyBytesMax limits a reply with the platform's list of instances.
 	rosterReplyBytesMax = 64 << 20
+	// headBytesMax limits the head of a reply, and the interim replies before it.
+	headBytesMax = 16 << 10
 	// connectionsIdleMax is the number of idle connections kept to the platform.
 	connectionsIdleMax = 4
 	// dialTimeout limits the time to open a connection.
@@ -66,9 +68,10 @@
 func NewClient(address, token string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: connectionsIdleMax,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    connectionsIdleMax,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headBytesMax,
 	}
 	return &Client{base: "http://" + address, token: token, http: &http.Client{Transport: strict.NewTransport(transport)}}
 }
