Ask before each attempt whether a stop would cut it off

What callers saw: reported from other systems, requests that came late in the grace period were passed on and cut off at its end. It happened here to those whose body came late and to those that a target rejected late: 502 after 7.7 s of 8 while a target was at work, orders among them. Cause: whether a request may outlast the process was asked when its head came, not when it was sent to a target. Requests whose head comes late were refused before (TestStopRefusesWhatItWouldCutOff). Change: it is asked before each attempt, straight or for another instance, as long as no target may have run the request. The refusal is true then, and the client can go to another instance at once.

--- a/front/detour.go
+++ b/front/detour.go
@@ -277,7 +277,7 @@
 	state := &retryState{request: q, tried: detour.Tried}
 	defer s.endTrial(q, state)
 	for {
-		if err := s.checkQuarantine(q, s.now()); err != nil {
+		if err := s.checkAttempt(state, s.now()); err != nil {
 			return state.result(err)
 		}
 		attempt, err := s.choose(detour.Service, q, state)
--- a/front/late_test.go
+++ b/front/late_test.go
@@ -104,6 +104,74 @@
 	}
 }
 
+// TestStopSendsNothingLate guards against requests that a stopping instance takes in time
+// and sends late, so that it answers them with 502 while a target is at work on them.
+func TestStopSendsNothingLate(t *testing.T) {
+	t.Parallel()
+	// The targets work until after the end of the process, and what is still running is
+	// canceled after 7.7 s.
+	const (
+		grace   = 8
+		work    = 8 * time.Second
+		sent    = 1500 * time.Millisecond
+		delayed = 3500 * time.Millisecond
+		margin  = 400 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		path string
+		// uploaded is when the body is sent, from the start of the stop on, and rejected
+		// when the first target says that it doesn't run the request, 0 for never.
+		uploaded, rejected time.Duration
+	}{
+		"uploaded late":             {path: "/write/x", uploaded: delayed},
+		"uploaded late, idempotent": {path: "/read/x", uploaded: delayed},
+		"rejected late":             {path: "/write/x", uploaded: sent, rejected: delayed},
+		"rejected late, idempotent": {path: "/read/x", uploaded: sent, rejected: delayed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestEnvWith(t, fakes.GraceLine(grace), fakes.Config(1, lateWait))
+			began := time.Now()
+			var rejected atomic.Bool
+			var runs atomic.Int64
+			w.handleAll(func(target *fakes.Target, rw http.ResponseWriter, r *http.Request) bool {
+				if fakes.RequestID(r.Header) != "late" {
+					return false
+				}
+				if c.rejected > 0 && rejected.CompareAndSwap(false, true) {
+					time.Sleep(time.Until(began.Add(c.rejected)))
+					target.RespondNotRun(rw, r)
+					return true
+				}
+				runs.Add(1)
+				select {
+				case <-time.After(work):
+				case <-r.Context().Done():
+				}
+				return false
+			})
+			w.stop()
+			time.Sleep(time.Until(began.Add(sent)))
+			conn := dial(t, w.address())
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n%slate\r\nX-Deadline-Ms: %d\r\nContent-Length: 4\r\n\r\nbo", c.path, fakes.RequestIDHeader, lateWait)
+			time.Sleep(time.Until(began.Add(c.uploaded)))
+			_, _ = io.WriteString(conn, "dy")
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			answered := time.Since(began)
+			if response.StatusCode != http.StatusServiceUnavailable || runs.Load() > 0 {
+				t.Errorf("status %d after %v, run by %d targets; want 503 and no run", response.StatusCode, answered, runs.Load())
+			}
+			if latest := delayed + margin; answered > latest {
+				t.Errorf("the answer came %v after the start of the stop, want %v at most", answered, latest)
+			}
+		})
+	}
+}
+
 // TestLookupsForgetStoppingInstance guards against look-up answers that name an instance
 // up to half a second after it began to stop, so that they outlast its port.
 func TestLookupsForgetStoppingInstance(t *testing.T) {
--- a/front/leave.go
+++ b/front/leave.go
@@ -30,7 +30,8 @@
 	// portCloses is when the clients' port closes, because no look-up answer that
 	// names the process is in use any more.
 	portCloses time.Time
-	// late is when requests are no longer taken that may outlast the process.
+	// late is when requests are no longer taken, or sent to a first target, that may outlast
+	// the process.
 	late time.Time
 	// cancels is when the requests that are still running are canceled.
 	cancels time.Time
@@ -46,12 +47,21 @@
 	}
 }
 
-// admits reports whether a request that may be answered until the given time is
-// taken. An early one is; whether a target is expected to answer it before the process
-// cancels it is known when the target is chosen. A late one must not outlast the process
-// whatever a target does.
-func (t shutdownTimes) admits(arrived, answerDeadline time.Time) bool {
-	return !arrived.After(t.late) || !answerDeadline.After(t.cancels)
+// admits reports whether a request that may be answered until the given time is taken, or
+// sent to a target. Early on it is; whether a target is expected to answer it before the
+// process cancels it is known when the target is chosen. Later it must not outlast the
+// process whatever a target does.
+func (t shutdownTimes) admits(now, answerDeadline time.Time) bool {
+	return !now.After(t.late) || !answerDeadline.After(t.cancels)
+}
+
+// checkShutdown returns a refusal if the process is about to stop and the request, which is
+// taken or sent to a target now, could outlast it.
+func (s *Server) checkShutdown(q *request, now time.Time) error {
+	if times := s.shutdown.Load(); times != nil && !times.admits(now, q.answerDeadline) {
+		return errStopping("the request could outlast it")
+	}
+	return nil
 }
 
 // errStopping refuses a request that would outlast this process. Other instances can
--- a/front/request.go
+++ b/front/request.go
@@ -168,8 +168,8 @@
 	if !s.admitTenant(w, q) {
 		return false
 	}
-	if times := s.shutdown.Load(); times != nil && !times.admits(q.arrived, q.answerDeadline) {
-		s.writeRefusal(w, q, errStopping("the request could outlast it"))
+	if err := s.checkShutdown(q, q.arrived); err != nil {
+		s.writeRefusal(w, q, err)
 		return false
 	}
 	return s.checkQuota(w, q) && s.readAdmitted(w, q)
@@ -320,7 +320,7 @@
 	state := &retryState{request: q, mayDetour: s.instances.HasDetours()}
 	defer s.endTrial(q, state)
 	for {
-		if err := s.checkQuarantine(q, s.now()); err != nil {
+		if err := s.checkAttempt(state, s.now()); err != nil {
 			return state.result(err)
 		}
 		answer, err := s.attempt(ctx, w, q, service, state)
--- a/front/send.go
+++ b/front/send.go
@@ -91,6 +91,21 @@
 	return sender.Answer{}, err
 }
 
+// mayHaveBegun reports whether a target may have run the request.
+func (t *retryState) mayHaveBegun() bool { return t.answer != nil || t.mayHaveRun != nil }
+
+// checkAttempt returns a refusal if the request must not be sent to a target now. A stop
+// prevents only what can be refused as not run: the client may then send it elsewhere.
+func (s *Server) checkAttempt(t *retryState, now time.Time) error {
+	if !t.mayHaveBegun() {
+		// The body may have taken a while, or a target to reject the request.
+		if err := s.checkShutdown(t.request, now); err != nil {
+			return err
+		}
+	}
+	return s.checkQuarantine(t.request, now)
+}
+
 // choose returns the target of the next attempt. It returns a refusal if the
 // deadline has passed or no target can take the request.
 func (s *Server) choose(service place.Service, q *request, t *retryState) (*pick.Attempt, error) {
