Reject chunks with any version but HTTP/1.1

What callers would see: a 200 with the chunks' lengths in its body, for an answer with HTTP/1.2 and Transfer-Encoding. Cause: fasthttp knows chunks only with HTTP/1.1; the check named HTTP/1.0 alone. Evidence: a fuzz run that compares what fasthttp and net/http read from a head which passes the check found it after 27 s; TestAmbiguousLength failed with it. Change: the check asks for HTTP/1.1. The comparison is FuzzCheckedHead.

--- a/sender/broken_test.go
+++ b/sender/broken_test.go
@@ -145,6 +145,7 @@
 		"chunks and a length":         {"HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", chunks, false},
 		"a length and chunks":         {"HTTP/1.1", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunks, false},
 		"chunks with HTTP/1.0":        {"HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunks, false},
+		"chunks with HTTP/1.2":        {"HTTP/1.2", "Transfer-Encoding: chunked\r\n", chunks, false},
 		"a length, chunks, HTTP/1.0":  {"HTTP/1.0", "Content-Length: 5\r\ntransfer-encoding: chunked\r\n", "whole", false},
 		"two lengths":                 {"HTTP/1.1", "Content-Length: 5\r\nContent-Length: 4\r\n", "whole", false},
 		"two lengths in one field":    {"HTTP/1.1", "Content-Length: 5, 5\r\n", "whole", false},
--- a/strict/head.go
+++ b/strict/head.go
@@ -59,8 +59,8 @@
 	if isChunked && hasLength {
 		return errors.Wrap(ErrMalformed, "the head has both Transfer-Encoding and Content-Length")
 	}
-	if isChunked && bytes.HasPrefix(statusLine, []byte("HTTP/1.0")) {
-		return errors.Wrap(ErrMalformed, "the head has a Transfer-Encoding, which HTTP/1.0 doesn't know")
+	if isChunked && !bytes.HasPrefix(statusLine, []byte("HTTP/1.1 ")) {
+		return errors.Wrap(ErrMalformed, "the head has a Transfer-Encoding, but its version isn't HTTP/1.1")
 	}
 	return nil
 }
