Measure memory with the limit that the program sets

The program gives the Go runtime a memory limit of 0.7 of the instance's memory, and the tests of package front didn't, so that they counted garbage which the program would have collected. Evidence: beside eight busy processes, six runs of no_length and chunks each: up to 142 MiB in use, of which at most 62 were live, without the limit (one run failed); at most 93 MiB with it. Change: watchMemory sets the program's limit, which package front now states.

--- a/cmd/endivechute/front.go
+++ b/cmd/endivechute/front.go
@@ -20,10 +20,6 @@
 	"github.com/endivechute/endivechute/setup"
 )
 
-// memoryLimitShare is the part of the instance's memory that becomes the memory
-// limit of the Go runtime, near which it collects garbage as often as it needs to.
-const memoryLimitShare = 0.7
-
 // gcPercentPressure is the garbage collector's target under the contract pressure, where
 // an instance's memory is short and its processor isn't: the live heap is a few MB, so
 // that collecting it more often costs little.
@@ -58,7 +54,7 @@
 			return errors.Mark(err, setup.ErrUsage)
 		}
 		if settings.MemoryBytes() > 0 {
-			debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes())))
+			debug.SetMemoryLimit(front.RuntimeMemoryLimit(settings.MemoryBytes()))
 		}
 		if settings.HasContract(platform.ContractPressure) {
 			debug.SetGCPercent(gcPercentPressure)
--- a/front/held.go
+++ b/front/held.go
@@ -36,6 +36,10 @@
 	return memory / heldDivisor
 }
 
+// RuntimeMemoryLimit returns the memory limit of the Go runtime, in bytes, for a process with
+// the given memory. Near it the runtime collects garbage as often as it needs to.
+func RuntimeMemoryLimit(memory int64) int64 { return memory / 10 * 7 }
+
 // errBodyTooLong and errNoRoom are the reasons why a request's body isn't read.
 var (
 	errBodyTooLong = errors.New("the body is too long")
--- a/front/large_test.go
+++ b/front/large_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/endivechute/endivechute/front"
 	"github.com/endivechute/endivechute/platform/fakes"
 )
 
@@ -255,9 +257,12 @@
 }
 
 // watchMemory measures the memory of this process until the function that it
-// returns is called, which fails the test if it exceeded smallestMemory.
+// returns is called, which fails the test if it exceeded smallestMemory. The runtime has
+// the limit that a process with this memory sets, so that no garbage is counted that such
+// a process would have collected.
 func watchMemory(t *testing.T) (stop func()) {
 	t.Helper()
+	before := debug.SetMemoryLimit(front.RuntimeMemoryLimit(smallestMemory))
 	runtime.GC()
 	var highest uint64
 	ended := make(chan struct{})
@@ -278,6 +283,7 @@
 	return func() {
 		close(ended)
 		watching.Wait()
+		debug.SetMemoryLimit(before)
 		if highest > smallestMemory {
 			t.Errorf("%d MiB were in use; want at most %d", highest/mebibyte, smallestMemory/mebibyte)
 		}
