Name the lengths of bodies in the test of resets

Cause: a newcomer would take length and answered for something else. Result: the tests of sender and TestResetDuringUploadIsNoSuccess pass.

--- a/front/broken_test.go
+++ b/front/broken_test.go
@@ -71,7 +71,7 @@
 	eventually(t, 3*time.Second, "the targets have moved", func() bool { return w.do(t, "POST", "/read/x", "moved").body != "whole" })
 	for i := range rounds {
 		for _, path := range []string{"/read/x", "/write/x"} {
-			r, err := fakes.NewRequest(t.Context(), "POST", w.address(), path, fmt.Sprintf("u%d%s", i, path[:2]), "", upload, timeout)
+			r, err := fakes.NewRequest(t.Context(), "POST", w.address(), path, fmt.Sprintf("u%d%s", i, path[1:2]), "", upload, timeout)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/sender/reset_test.go
+++ b/sender/reset_test.go
@@ -11,10 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/endivechute/endivechute/errs"
-
 	"github.com/sourcegraph/conc"
 
+	"github.com/endivechute/endivechute/errs"
 	"github.com/endivechute/endivechute/sender"
 )
 
@@ -29,37 +28,38 @@
 	)
 	head := "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n\r\n"
 	for name, c := range map[string]struct {
-		// length is that of the request's body, and answered that of the answer's.
-		length, answered int
-		end              func(conn *net.TCPConn)
-		want             int
+		// uploadBytes and answerBytes are the lengths of the bodies.
+		uploadBytes, answerBytes int
+		end                      func(conn *net.TCPConn)
+		// want is the status, 0 if the answer must be rejected.
+		want int
 	}{
-		"reset":                     {length: 32 << 20, answered: 4, end: reset},
-		"reset, long answer":        {length: 32 << 20, answered: 3 << 20, end: reset},
-		"closed with unread bytes":  {length: 32 << 20, answered: 4, end: func(conn *net.TCPConn) { _ = conn.Close() }},
-		"reset, short upload":       {length: 16 << 10, answered: 4, end: reset},
-		"closed, upload not read":   {length: 32 << 20, answered: 4, end: closeWrite, want: http.StatusOK},
-		"closed, upload read":       {length: 32 << 20, answered: 4, end: closeAndRead, want: http.StatusOK},
-		"closed, read, long answer": {length: 32 << 20, answered: 900 << 10, end: closeAndRead, want: http.StatusOK},
+		"reset":                     {uploadBytes: 32 << 20, answerBytes: 4, end: reset},
+		"reset, long answer":        {uploadBytes: 32 << 20, answerBytes: 3 << 20, end: reset},
+		"closed with unread bytes":  {uploadBytes: 32 << 20, answerBytes: 4, end: func(conn *net.TCPConn) { _ = conn.Close() }},
+		"reset, short upload":       {uploadBytes: 16 << 10, answerBytes: 4, end: reset},
+		"closed, upload not read":   {uploadBytes: 32 << 20, answerBytes: 4, end: closeWrite, want: http.StatusOK},
+		"closed, upload read":       {uploadBytes: 32 << 20, answerBytes: 4, end: closeAndRead, want: http.StatusOK},
+		"closed, read, long answer": {uploadBytes: 32 << 20, answerBytes: 900 << 10, end: closeAndRead, want: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			answered := bytes.Repeat([]byte("x"), c.answered)
+			body := bytes.Repeat([]byte("x"), c.answerBytes)
 			address := serveConns(t, func(conn *net.TCPConn) {
 				_, _ = io.ReadFull(conn, make([]byte, 1<<10))
 				_, _ = io.WriteString(conn, head)
-				_, _ = conn.Write(answered)
+				_, _ = conn.Write(body)
 				time.Sleep(pause)
 				c.end(conn)
 			})
-			upload := make([]byte, c.length)
+			upload := make([]byte, c.uploadBytes)
 			for range rounds {
 				client := sender.New("t1", address, 1, sender.DialTCP)
 				var streamed bytes.Buffer
 				for kind, request := range requestKinds() {
 					request = request.WithHeadersAndBody(request.Headers(), upload).WithOverflow(nil, func(sender.Answer) (io.Writer, error) { return &streamed, nil })
 					answer, err := client.Do(t.Context(), request)
-					checkRejected(t, kind, answer, err, c.want, string(answered))
+					checkRejected(t, kind, answer, err, c.want, string(body))
 				}
 				client.Close()
 			}
