Reset uploads of several sizes before buffered and streamed answers

Cause: the case of a long answer in TestResetDuringUpload passed without the fix, because its answer was longer than the request accepts. Change: the request accepts it, and TestWriteGetsTheError has uploads below and above what is written before the answer is read, and answers that are buffered and streamed.

--- a/sender/reset_test.go
+++ b/sender/reset_test.go
@@ -57,7 +57,7 @@
 				client := sender.New("t1", address, 1, sender.DialTCP)
 				var streamed bytes.Buffer
 				for kind, request := range requestKinds() {
-					request = request.WithHeadersAndBody(request.Headers(), upload).WithOverflow(nil, func(sender.Answer) (io.Writer, error) { return &streamed, nil })
+					request = request.WithAnswerBytesMax(16<<20).WithHeadersAndBody(request.Headers(), upload).WithOverflow(nil, func(sender.Answer) (io.Writer, error) { return &streamed, nil })
 					answer, err := client.Do(t.Context(), request)
 					checkRejected(t, kind, answer, err, c.want, string(body))
 				}
@@ -112,20 +112,27 @@
 }
 
 // TestWriteGetsTheError lets the write of a request get the error that ended the
-// connection, so that reading the answer sees a regular end.
+// connection, so that reading the answer sees a regular end. The lengths are of uploads that
+// are written before the answer is read and beside it, and of answers that are buffered and
+// streamed.
 func TestWriteGetsTheError(t *testing.T) {
 	for name, writeErr := range map[string]error{"reset": syscall.ECONNRESET, "silent": syscall.ETIMEDOUT, "reset after a close": syscall.EPIPE} {
 		t.Run(name, func(t *testing.T) {
-			answer := "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n\r\npart"
-			dial := func(context.Context, string, time.Duration) (net.Conn, error) {
-				return &brokenConn{answer: strings.NewReader(answer), writeErr: writeErr}, nil
-			}
-			client := sender.New("t1", "127.0.0.1:1", 1, dial)
-			defer client.Close()
-			for kind, request := range requestKinds() {
-				got, err := client.Do(t.Context(), request.WithHeadersAndBody(request.Headers(), make([]byte, 1<<20)))
-				if err == nil || errs.VerdictOf(err) != errs.VerdictMayHaveRun {
-					t.Errorf("%s: status %d with body %q, error %v; want an error that says that the request may have run", kind, got.Status(), got.Body(), err)
+			for _, answerBytes := range []int{4, 3 << 20} {
+				answer := "HTTP/1.1 200 OK\r\n" + sender.HeaderRequestID + ": r1\r\n\r\n" + strings.Repeat("x", answerBytes)
+				dial := func(context.Context, string, time.Duration) (net.Conn, error) {
+					return &brokenConn{answer: strings.NewReader(answer), writeErr: writeErr}, nil
+				}
+				for _, uploadBytes := range []int{8 << 10, 8<<10 + 1, 1 << 20} {
+					client := sender.New("t1", "127.0.0.1:1", 1, dial)
+					for kind, request := range requestKinds() {
+						request = request.WithAnswerBytesMax(16<<20).WithHeadersAndBody(request.Headers(), make([]byte, uploadBytes)).WithOverflow(nil, func(sender.Answer) (io.Writer, error) { return io.Discard, nil })
+						got, err := client.Do(t.Context(), request)
+						if err == nil || errs.VerdictOf(err) != errs.VerdictMayHaveRun {
+							t.Errorf("%s, upload of %d bytes, answer of %d: status %d, error %v; want an error that says that the request may have run", kind, uploadBytes, answerBytes, got.Status(), err)
+						}
+					}
+					client.Close()
 				}
 			}
 		})
