--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -16,7 +16,7 @@
 const (
 	// crowdClients is the number of clients at each front, and burstFactor how many times as
 	// many there are for burstTime.
-	crowdClients = 200
+	crowdClients = 220
 	burstFactor  = 1.7
 	burstTime    = 3 * time.Second
 	burstAt      = 15 * time.Second
