--- a/review/rig/path.go
+++ b/review/rig/path.go
@@ -4,12 +4,24 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
-// path plays clients whose paths have characters that browsers send as they are.
+const (
+	// lostShare of the answers of one of three endpoints of a service are lost.
+	lostShare = 0.025
+	// orderGap is the time between two orders.
+	orderGap = 10 * time.Millisecond
+	// orders is how many orders are sent that may run once.
+	orders = 2000
+)
+
+// path plays clients whose paths have a character that browsers send as it is, and an endpoint
+// that loses some of its answers.
 func path(w *world) (int, error) {
 	c := config{version: 1, routes: []route{
 		{"r-read", "/read/", "idempotent", "svc", 4000}, {"r-write", "/write/", "non_idempotent", "svc", 4000},
@@ -18,6 +30,10 @@
 	w.store.put("config", "main", c.encode())
 	for _, service := range []string{"svc", "other"} {
 		err := w.addEndpoints(service, sixZones[:3], 8, func(e *endpoint, out *bufio.Writer, r *http.Request) bool {
+			if w.trouble && e.id == "i-svc-0" && strings.Contains(r.URL.Path, "order") && rand.Float64() < lostShare {
+				w.log("%s runs %s and loses the answer", e.id, r.Header.Get("X-Request-Id"))
+				return false
+			}
 			e.head(out, r, http.StatusOK, 2)
 			_, err := out.WriteString("ok")
 			return err == nil
@@ -29,10 +45,7 @@
 	if err := w.startFronts(sixZones[:3], bonoseguro); err != nil {
 		return failed, err
 	}
-	targets := []string{"GET /read/loans%2F17", "POST /write/loans%2F17", "GET /read/loans%2F17?view=all", "POST /write/a/b%2fc", "POST /read%2Floans"}
-	if w.trouble {
-		targets = []string{"GET /read/loans%2F17|all", "POST /write/loans%2F17|all", "GET /read/loans%2F17|all?view=all", "POST /write/a|b%2fc", "POST /read%2Floans|all"}
-	}
+	targets := []string{"GET /read/loans%2F17|all", "POST /write/loans%2F17|all", "GET /read/loans%2F17|all?view=all", "POST /write/a|b%2fc", "POST /read%2Forder|all"}
 	changed := 0
 	for n, target := range targets {
 		for _, f := range w.fronts {
@@ -53,13 +66,41 @@
 			}
 		}
 	}
-	w.note("%d requests ran with another path than the client's (one breaks UNASKED)", changed)
-	if changed > 0 {
+	w.note("%d requests ran with another path than the client's", changed)
+	twice, err := w.orderOften()
+	if err != nil {
+		return failed, err
+	}
+	w.note("%d of %d orders ran twice (one breaks TWICE)", twice, orders)
+	if twice > 0 {
 		return broken, nil
 	}
 	return held, nil
 }
 
+// orderOften sends orders whose route may not be repeated, and returns how many ran more than
+// once.
+func (w *world) orderOften() (int, error) {
+	twice := 0
+	for n := range orders {
+		id := fmt.Sprintf("order-%d", n)
+		time.Sleep(orderGap)
+		if _, err := askOnce(w.fronts[n%len(w.fronts)], "POST /read%2Forder|all", id); err != nil {
+			return 0, err
+		}
+		runs := 0
+		for _, e := range w.endpoints {
+			n, _ := e.ran(id)
+			runs += n
+		}
+		if runs > 1 {
+			twice++
+			w.log("%s ran %d times", id, runs)
+		}
+	}
+	return twice, nil
+}
+
 // askOnce sends a request on a connection of its own and returns the status of the answer.
 func askOnce(f *front, target, id string) (int, error) {
 	conn, err := net.DialTimeout("tcp", f.clients(), time.Second)
