--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -110,7 +110,7 @@
 		}
 		_ = conn.SetDeadline(time.Now().Add(7 * time.Second))
 		_, err := conn.Write(out.Bytes())
-		answered := 0
+		answered, statuses := 0, []int{}
 		for err == nil && answered < len(ids) {
 			var answer *http.Response
 			if answer, err = http.ReadResponse(reader, nil); err == nil {
@@ -118,8 +118,10 @@
 			}
 			if err == nil {
 				answered++
+				statuses = append(statuses, answer.StatusCode)
 			}
 		}
+		w.log("%s to %s are sent to %s, and answered with %v", ids[0], ids[len(ids)-1], f.name, statuses)
 		if err == nil {
 			kept = true
 			continue
--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -15,6 +15,8 @@
 // the request, signs its answers and turns requests for other endpoints away.
 type endpoint struct {
 	id, service, zone, address string
+	// record writes a line to the record of the case.
+	record func(format string, args ...any)
 	// serve answers a request that is for this endpoint. It returns false if the
 	// connection is to be closed.
 	serve func(e *endpoint, w *bufio.Writer, r *http.Request) bool
@@ -27,13 +29,13 @@
 	done    map[string]bool
 }
 
-func newEndpoint(id, service, zone string, serve func(e *endpoint, w *bufio.Writer, r *http.Request) bool) (*endpoint, error) {
+func newEndpoint(id, service, zone string, record func(format string, args ...any), serve func(e *endpoint, w *bufio.Writer, r *http.Request) bool) (*endpoint, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	e := &endpoint{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), serve: serve,
+		id: id, service: service, zone: zone, address: listener.Addr().String(), record: record, serve: serve,
 		runs: map[string]int{}, targets: map[string]string{}, done: map[string]bool{},
 	}
 	go func() {
@@ -75,6 +77,7 @@
 			e.runs[id]++
 			e.targets[id] = r.Method + " " + r.RequestURI
 			e.mu.Unlock()
+			e.record("%s runs %s: %s %s", e.id, id, r.Method, r.RequestURI)
 			whole := e.serve(e, writer, r)
 			if !whole {
 				_ = writer.Flush()
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -41,6 +41,17 @@
 	return &world{root: root, folder: folder, trouble: trouble, began: time.Now(), store: s, file: file, record: bufio.NewWriter(file)}, nil
 }
 
+const (
+	// A disruption of endpoints' answers lasts faultTime, and comes again after faultPause.
+	faultTime  = 5500 * time.Millisecond
+	faultPause = time.Second
+)
+
+// faulty reports whether such a disruption is under way.
+func (w *world) faulty() bool {
+	return w.trouble && time.Since(w.began)%(faultTime+faultPause) < faultTime
+}
+
 // note writes a line to the record and to the output.
 func (w *world) note(format string, args ...any) {
 	w.log(format, args...)
@@ -57,7 +68,7 @@
 // addEndpoints starts endpoints and writes their entries to the store.
 func (w *world) addEndpoints(service string, places []place, slots int, serve func(e *endpoint, w *bufio.Writer, r *http.Request) bool) error {
 	for i, p := range places {
-		e, err := newEndpoint(fmt.Sprintf("i-%s-%d", service, i), service, p.zone, serve)
+		e, err := newEndpoint(fmt.Sprintf("i-%s-%d", service, i), service, p.zone, w.log, serve)
 		if err != nil {
 			return err
 		}
